Open a connection before sharing one that has an answer due

NodePool.pick took an idle connection, else shared the least loaded one, and opened another only at 100 requests in line (multiplex). On a connection answers keep the order of the requests, so a hit of 10 ms waited behind a fetch of 100 ms, came late, and counted as a capacity failure of its tenant; a connection that was closed took the others in its line along. It now opens one while descriptors last, and shares only for want of them.

Two tests took for granted that connections are shared while descriptors are left; they now use up the descriptors first.

--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -27,18 +27,22 @@
     }
 
     void send(Attempt a) {
-        NodeConnection c = pick();
+        NodeConnection c = idle();
         if (c == null) {
             c = pools.open(this);
         }
         if (c == null) {
+            c = shared();
+        }
+        if (c == null) {
+            pools.log.line("no descriptor left for a connection to node " + name);
             pools.proxy.ended(a, a.broken(), null);
             return;
         }
         c.add(a);
     }
 
-    private NodeConnection pick() {
+    private NodeConnection idle() {
         while (!idle.isEmpty()) {
             NodeConnection c = idle.pollLast();
             stopTimer(c);
@@ -46,6 +50,11 @@
                 return c;
             }
         }
+        return null;
+    }
+
+    /** Only for want of a descriptor: a quick answer would wait behind the slow one that is due before it. */
+    private NodeConnection shared() {
         NodeConnection best = null;
         if (pools.streams > 1) {
             for (NodeConnection c : all) {
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -76,7 +76,6 @@
     /** A new connection; null where no descriptor is left for it. */
     NodeConnection open(NodePool pool) {
         if (open >= most && byId.values().stream().noneMatch(NodePool::closeOldest)) {
-            log.line("no descriptor left for a connection to node " + pool.name);
             return null;
         }
         open++;
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -254,15 +256,35 @@
     }
 
     @Test
-    void aLateAnswerOnASharedConnectionIsNotTakenForTheNextOne() throws Exception {
+    void aQuickAnswerDoesNotWaitBehindASlowOneWhileThereAreDescriptors() throws Exception {
         try (Fixture f = new Fixture(1, s -> s.replace("\"multiplex\":1", "\"multiplex\":4")
                 .replace("\"secondCopies\":false", "\"secondCopies\":true"), 1024)) {
+            Peer slow = f.client();
+            Peer quick = f.client();
+            slow.send(Fixture.write("charge", "c1", 4900));
+            command(f.nodes.get(0).next(), 4900);
+            quick.send(Fixture.write("charge", "c2", 4900));
+            Peer node = f.nodes.get(0).next();
+            command(node, 4900);
+            node.send("HD Oc2 c2\r\n");
+            quick.expect("HD Oc2 c2");
+        }
+    }
+
+    @Test
+    void aLateAnswerOnASharedConnectionIsNotTakenForTheNextOne() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"multiplex\":1", "\"multiplex\":4")
+                .replace("\"secondCopies\":false", "\"secondCopies\":true"), 128)) { // 24 are for nodes
             Peer client = f.client();
             Peer patient = f.client();
-            client.send(Fixture.write("charge", "c1", 300));
+            client.send(Fixture.write("charge", "c1", 2000));
             Peer node = f.nodes.get(0).next();
-            command(node, 300);
+            command(node, 2000);
             node.expect("hello");
+            for (int i = 1; i < 24; i++) {
+                f.client().send(Fixture.read("a" + i, 4900));
+                command(f.nodes.get(0).next(), 4900);
+            }
             patient.send(Fixture.write("charge", "c2", 4000));
             command(node, 4000);
             node.expect("hello");
@@ -334,13 +356,14 @@
     @Test
     void overTheBoundWithEveryConnectionBusyANewOneIsToldSoAndEnds() throws Exception {
         try (Fixture f = new Fixture(1, s -> s.replace("\"multiplex\":1", "\"multiplex\":64")
-                .replace("\"secondCopies\":false", "\"secondCopies\":true"), 128)) { // 40 are for clients
-            for (int i = 0; i < 40; i++) {
+                .replace("\"secondCopies\":false", "\"secondCopies\":true"), 128)) {
+            List<Peer> nodes = new ArrayList<>();
+            for (int i = 0; i < 40; i++) { // 40 are for clients, and 24 for nodes
                 f.client().send(Fixture.read("a" + i, 4900));
-            }
-            Peer node = f.nodes.get(0).next();
-            for (int i = 0; i < 40; i++) {
-                command(node, 4900);
+                if (i < 24) {
+                    nodes.add(f.nodes.get(0).next());
+                }
+                command(nodes.get(i % 24), 4900);
             }
             Peer over = f.client();
             over.send(Fixture.write("charge", "c1", 4000));
