Rehearse requests in memory before the proxy listens

In steps of 100 ms the loop stands still for up to 200 ms at a time from 1.3 s to 2.8 s, at its limit of half a core, with 35 to 55 requests in 100 ms; dials and answers wait in it, time out and count as capacity failures. At 2.8 s the loop is well and every attempt succeeds, but the tenants' chances have risen to the most and for seconds four of five requests are refused. A program that has served nothing interprets every step of a request.

Rehearsal.run now takes 600 requests through decoder, session, module and node connection in memory before the proxy listens: no socket, no discovery, timers that never fire, and a module of its own that ends with it. Clients come once the proxies are ready, so the time until then costs them nothing.

--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -23,25 +23,40 @@
     final long idleUs;
     private final int most;
     private final EventLoop loop;
-    private final Bootstrap bootstrap;
+    private final Dialer dialer;
     private final Map<Integer, NodePool> byId = new HashMap<>();
     private int open;
 
-    NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most) {
+    /** Brings up the channel of a new connection to a node. */
+    interface Dialer {
+        void dial(InetSocketAddress address, NodeConnection c);
+    }
+
+    NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most, Dialer dialer) {
         this.proxy = proxy;
         this.log = log;
         this.most = most;
         this.loop = loop;
+        this.dialer = dialer;
         // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
         streams = config.settings.secondCopies ? config.settings.streamsPerConnection : 1;
         idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
+    }
+
+    static Dialer sockets(Config config, EventLoop loop) {
         // drains: what waits for a connection must be written within the grace of a change told meanwhile
         long dialUs = config.settings.dialTimeoutUs > 0 ? config.settings.dialTimeoutUs : 1_000_000;
         long grace = config.settings.drainGraceUs;
         dialUs = grace > 0 ? Math.min(dialUs, grace / 2) : dialUs;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialUs / 1000));
+        return (address, c) -> bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new Answer.Decoder(), c);
+            }
+        }).connect(address).addListener((ChannelFutureListener) c::dialed);
     }
 
     /** The list names this node: it may be sent to, at this address. */
@@ -81,12 +96,7 @@
         open++;
         NodeConnection c = new NodeConnection(pool);
         pool.added(c);
-        bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new Answer.Decoder(), c);
-            }
-        }).connect(pool.address).addListener((ChannelFutureListener) c::dialed);
+        dialer.dial(pool.address, c);
         return c;
     }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -81,7 +82,7 @@
     private Channel listener;
     private boolean draining;
 
-    private Proxy(Config config, EventLoop loop) {
+    Proxy(Config config, EventLoop loop, NodePools.Dialer dialer) {
         this.config = config;
         this.loop = loop;
         unixAtOriginUs = System.currentTimeMillis() * 1000;
@@ -94,7 +95,8 @@
         for (int i = 0; i < config.settings.tenants.length; i++) {
             names.tenants().put(config.settings.tenants[i].name, i);
         }
-        pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING);
+        pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING,
+            dialer);
         discovery = new Discovery(this, config, loop, log);
         router = new Choice(config.settings, config.seed, now(), this);
     }
@@ -102,6 +104,7 @@
     /** Runs a proxy until SIGTERM. */
     public static void serve(Map<String, String> env) {
         Config config = Config.load(env);
+        Rehearsal.run(config);
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = start(config, loop);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -112,7 +115,8 @@
 
     static Proxy start(Config config, EventLoop loop) {
         try {
-            Proxy proxy = loop.submit(() -> new Proxy(config, loop)).get();
+            Proxy proxy = loop.submit(
+                () -> new Proxy(config, loop, NodePools.sockets(config, loop))).get();
             loop.submit(proxy::begin).get();
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
@@ -140,7 +144,6 @@
     }
 
     private ChannelFuture listen() {
-        Proxy proxy = this;
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -148,7 +151,7 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new Command.Decoder(names), new ClientSession(proxy));
+                    ch.pipeline().addLast(handlers());
                 }
             })
             .bind(config.listen);
@@ -156,6 +159,11 @@
         return bound;
     }
 
+    /** What a client's connection needs. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new Command.Decoder(names), new ClientSession(this)};
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
     }
--- /dev/null
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -0,0 +1,97 @@
+package holdproxy.net;
+
+import holdproxy.Router;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Requests served before the proxy listens, with no socket: a client and a node in memory around a proxy of
+ * their own. In a proxy that has served nothing every step is loaded and interpreted; with half a core its
+ * first clients would wait until they give up, and the module would take that for a lack of capacity.
+ */
+final class Rehearsal {
+    /** Enough for what runs with each request to be compiled: that takes 200 calls. */
+    static final int ROUNDS = 600;
+    private static final int ROUNDS_PER_CLIENT = 4;
+
+    private final List<EmbeddedChannel> nodes = new ArrayList<>();
+
+    private Rehearsal() {
+    }
+
+    /** Returns how many requests were served. */
+    static int run(Config config) {
+        return new Rehearsal().serve(config);
+    }
+
+    private int serve(Config config) {
+        // an event loop that nobody runs: the timers set here, asking for the node list among them, never fire
+        Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), this::dial);
+        Router.Node node = new Router.Node();
+        proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(node, "rehearsal", config.listen)));
+        int served = 0;
+        EmbeddedChannel client = null;
+        for (int i = 0; i < ROUNDS; i++) {
+            if (i % ROUNDS_PER_CLIENT == 0) {
+                close(client);
+                client = new EmbeddedChannel(proxy.handlers());
+            }
+            client.writeInbound(request(config.settings, i));
+            nodes.forEach(Rehearsal::answer);
+            String answer = text(client);
+            if (answer.startsWith("VA ") || answer.startsWith("HD ")) {
+                served++;
+            }
+        }
+        close(client);
+        nodes.forEach(Rehearsal::close);
+        return served;
+    }
+
+    private void dial(InetSocketAddress address, NodeConnection c) {
+        nodes.add(new EmbeddedChannel(new Answer.Decoder(), c));
+    }
+
+    private static ByteBuf request(Router.Settings settings, int i) {
+        String fields = " O" + i + " Pc=" + settings.classes[i % settings.classes.length].name
+            + (settings.tenants.length == 0 ? "" : ",t=" + settings.tenants[i % settings.tenants.length].name)
+            + ",d=60000";
+        return bytes(i % 8 != 0 ? "mg " + Integer.toHexString(i) + " v" + fields + "\r\n"
+            : "ms " + Integer.toHexString(i) + " 5" + fields + ",k=" + i + "\r\nhello\r\n");
+    }
+
+    /** What a node says to the command that has come to it. */
+    private static void answer(EmbeddedChannel node) {
+        String command = text(node);
+        if (!command.isEmpty()) {
+            int at = command.indexOf(" O") + 1;
+            String id = command.substring(at, command.indexOf(' ', at));
+            node.writeInbound(bytes(command.startsWith("mg") ? "VA 5 " + id + "\r\nhello\r\n"
+                : "HD " + id + " c1\r\n"));
+        }
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String text(EmbeddedChannel channel) {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            text.append(b.toString(StandardCharsets.ISO_8859_1));
+            b.release();
+        }
+        return text.toString();
+    }
+
+    private static void close(EmbeddedChannel channel) {
+        if (channel != null) {
+            channel.finishAndReleaseAll();
+        }
+    }
+}
