Take silence for a dead connection only beyond the idling others came back from

Handshakes cost both sides work, and the first seconds stayed slow.

The module counts a slow answer on a connection that had idled as a sign that it was dropped unseen, and cuts the time that any may idle by e. It wins trust back only where one had idled a quarter of that time. On a busy proxy none idles for more than some 30 ms, so each slow answer counted down and nothing ever up, until at 7 steps connections were closed after every use. Then none idled at all, and trust came back only as the minute's fading let it. Silence now counts only after twice the idling that others came back from within the last seconds. The evidence moved to a class of its own, Idling.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -75,6 +75,9 @@
     static final double THRIFT_STEP = 1;
     static final double THRIFT_MOST = 12;
     static final double THRIFT_FADE_US = 60e6;
+    // Silence tells of idling only beyond so many times what others came back from in about this time.
+    static final double PROVEN_MARGIN = 2;
+    static final double PROVEN_FADE_US = 10e6;
     // Discovery: first calls spread over this part of the time in which an instance has to ask.
     static final double ASK_SPREAD = 0.8;
     static final double ASK_US_PER_ROUTER = 400_000;
@@ -108,7 +111,7 @@
     private final LongMap<Open> open = new LongMap<>();
     private final Fleet fleet;
     private final Fading originChance = new Fading(NODE_FADE_US);
-    private final Fading thrift = new Fading(THRIFT_FADE_US);
+    private final Idling idling;
     private boolean subscribed;
     private int askFailures;
 
@@ -118,6 +121,7 @@
         attemptsMost = Math.min(ATTEMPTS_MOST, settings.maxAttempts);
         random = new Random(seed);
         startedAt = nowUs;
+        idling = new Idling(settings.idleCloseUs);
         live = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         shadow = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         heat = new Blue(LEVELS, HEAT_BUCKETS, HEAT_US, random.next());
@@ -322,7 +326,7 @@
             }
             return;
         }
-        if (t.idleSince != Long.MIN_VALUE && now - t.idleSince > idleLimit(now)) {
+        if (t.idleSince != Long.MIN_VALUE && now - t.idleSince > idling.limitUs(now)) {
             closeIdle(t, out);
         }
         r.idledUs[r.attempts] = t.idleSince != Long.MIN_VALUE ? now - t.idleSince : -1;
@@ -330,11 +334,6 @@
         out.send(r.id, t.id, giveUpAt(r) < r.due ? left : 0);
     }
 
-    /** How long a connection may idle before it is no longer trusted. */
-    private double idleLimit(long now) {
-        return set.idleCloseUs * Math.exp(-thrift.get(now));
-    }
-
     /**
      * Connections: silence on one that had idled (dropped unseen), or a node that takes no new ones (all its
      * places held by idle ones) shortens the time that any may idle. One that would be closed before its next
@@ -343,17 +342,17 @@
      */
     private void released(Open r, int attempt, Outcome o, long now, Actions out) {
         Target t = r.node[attempt];
-        double limit = idleLimit(now);
+        double limit = idling.limitUs(now);
         if (fleet.isOrigin(t)) {
             return; // one that all share: a handshake there costs the most when it is slow
         }
         if (o == Outcome.CONNECT_FAILED) {
-            thrift.add(THRIFT_STEP, THRIFT_MOST, now);
+            idling.turnedAway(now);
         } else if (o == Outcome.RESET) {
             t.idleSince = Long.MIN_VALUE;
         } else {
-            if (o == Outcome.OK && r.idledUs[attempt] > limit / 4) {
-                thrift.add(-THRIFT_STEP, THRIFT_MOST, now);
+            if (o == Outcome.OK) {
+                idling.served(r.idledUs[attempt], limit, now);
             }
             t.idleSince = now;
             boolean freely = set.handshakePrice == 0 || limit < set.idleCloseUs / 2.0;
@@ -573,8 +572,7 @@
             // slow compared with others: without this a node whose copies win elsewhere would never be blamed
             int first = Integer.numberOfTrailingZeros(r.out);
             Target slow = r.node[first];
-            if (r.idledUs[first] >= 0) {
-                thrift.add(THRIFT_STEP, THRIFT_MOST, now);
+            if (idling.silent(r.idledUs[first], now)) {
                 closeIdle(slow, out);
             }
             double waited = r.waited(now - r.arrived);
--- /dev/null
+++ b/src/main/java/holdproxy/Idling.java
@@ -0,0 +1,43 @@
+package holdproxy;
+
+/** How long a connection may idle before it is no longer trusted, by what came of those that had idled. */
+final class Idling {
+    private final long mostUs;
+    private final Fading thrift = new Fading(Choice.THRIFT_FADE_US);
+    /** The longest idling after which a connection served lately. */
+    private final Fading proven = new Fading(Choice.PROVEN_FADE_US);
+
+    Idling(long mostUs) {
+        this.mostUs = mostUs;
+    }
+
+    double limitUs(long now) {
+        return mostUs * Math.exp(-thrift.get(now));
+    }
+
+    /** A node takes no new connections: all its places may be held by idle ones. */
+    void turnedAway(long now) {
+        thrift.add(Choice.THRIFT_STEP, Choice.THRIFT_MOST, now);
+    }
+
+    /** A connection served after idling so long; -1: it was new. */
+    void served(long idledUs, double limitUs, long now) {
+        if (idledUs > limitUs / 4) {
+            thrift.add(-Choice.THRIFT_STEP, Choice.THRIFT_MOST, now);
+        }
+        proven.set(Math.max(proven.get(now), idledUs), now);
+    }
+
+    /**
+     * Whether silence on a connection that idled so long may come of that. Where others came back from about
+     * as much it is a slow answer: on a busy proxy such would else close every connection between any two
+     * uses, and with none idle long enough to win trust back it would stay so.
+     */
+    boolean silent(long idledUs, long now) {
+        if (idledUs <= Choice.PROVEN_MARGIN * proven.get(now)) {
+            return false;
+        }
+        thrift.add(Choice.THRIFT_STEP, Choice.THRIFT_MOST, now);
+        return true;
+    }
+}
--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -30,7 +30,7 @@
     }
 
     private int serve(Config config) {
-        // an event loop that nobody runs: the timers set here, asking for the node list among them, never fire
+        // an event loop that nobody runs: the timers set here, that for the node list among them, never fire
         Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), this::dial);
         Router.Node node = new Router.Node();
         proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(node, "rehearsal", config.listen)));
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -300,6 +300,24 @@
         assertTrue(silent > 0 && silent < 12, "learnt after a few silences, and tried again: " + silent);
     }
 
+    /** On a busy proxy none idles for long, so that nothing could win back what slow answers took. */
+    @Test
+    void slowAnswersOnConnectionsThatIdledShortlyCloseNone() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.idleCloseUs = 60 * S;
+        Choice p = out.choice(s, 1, Fixture.nodes(1));
+        for (int i = 0; i < 400; i++) {
+            long now = i * 300 * MS;
+            out.timers.clear();
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), out);
+            if (i % 5 == 4) {
+                out.fire(p, now + 180 * MS);
+            }
+            out.outcome(p, now + 200 * MS, i, 0, Router.Outcome.OK);
+        }
+        assertTrue(out.all.stream().noneMatch(a -> a.startsWith("close")), "closed though it was never silent");
+    }
+
     /** bole-campus big-1: nodes' connection tables held by idle connections, half of all attempts turned away. */
     @Test
     void whereNodesTakeNoMoreConnectionsNoneIsHeldIdle() {
