Read the configuration again at SIGHUP, and watch discovery where it says

Hangup takes the signal, Config.reload checks the whole file, and Discovery goes on with its watch at the new address from the version it has. A file that is bad is logged, and the old configuration kept. Whatever else the file says holds for the life of the module and is not taken over.

--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -29,11 +29,12 @@
     /** The list as last had, in discovery's form. */
     final Map<String, Object> known;
 
-    private Config(Map<String, String> env) {
+    private Config(Map<String, String> env, boolean again) {
         name = variable(env, "LB_NAME");
         listen = address(variable(env, "LB_LISTEN"), "LB_LISTEN");
-        discovery = address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
         Map<String, Object> json = read(variable(env, "LB_CONFIG"));
+        discovery = again ? address(text(json, "discovery", "the configuration"), "discovery")
+            : address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
         seed = seed(text(json, "seed", "the configuration"));
         Object limit = object(json, "limits", "the configuration").get("sockets");
         if (!(limit instanceof Number n) || n.intValue() < 128) {
@@ -55,7 +56,12 @@
     }
 
     static Config load(Map<String, String> env) {
-        return new Config(env);
+        return new Config(env, false);
+    }
+
+    /** The file as it is now; where discovery is stands only there: our variables stay as they were. */
+    static Config reload(Map<String, String> env) {
+        return new Config(env, true);
     }
 
     private static String variable(Map<String, String> env, String name) {
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -53,6 +53,7 @@
 
     private final Proxy proxy;
     private final Config config;
+    private InetSocketAddress address;
     private final EventLoop loop;
     private final Log log;
     private final Map<String, Integer> numbers = new HashMap<>();
@@ -63,6 +64,7 @@
     Discovery(Proxy proxy, Config config, EventLoop loop, Log log) {
         this.proxy = proxy;
         this.config = config;
+        address = config.discovery;
         this.loop = loop;
         this.log = log;
     }
@@ -81,6 +83,17 @@
         watch = new Call(PATH + "?stream=1&index=" + version, true);
     }
 
+    /** Discovery is at another address: the watch goes on from there; a call that failed is made there. */
+    void moved(InetSocketAddress now) {
+        if (!now.equals(address)) {
+            log.line("discovery is now at " + now);
+            address = now;
+            if (watch != null) {
+                watch();
+            }
+        }
+    }
+
     void fetch() {
         new Call(PATH, false);
     }
@@ -185,12 +198,12 @@
                             new HttpClientCodec(), call);
                     }
                 })
-                .connect(config.discovery).addListener((ChannelFutureListener) f -> {
+                .connect(address).addListener((ChannelFutureListener) f -> {
                     if (f.isSuccess()) {
                         DefaultFullHttpRequest get =
                             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
                         get.headers().set(HttpHeaderNames.HOST,
-                            NetUtil.toSocketAddressString(config.discovery));
+                            NetUtil.toSocketAddressString((InetSocketAddress) f.channel().remoteAddress()));
                         f.channel().writeAndFlush(get);
                     } else {
                         failed("no connection");
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -101,16 +101,19 @@
         router = new Choice(config.settings, config.seed, now(), this);
     }
 
-    /** Runs a proxy until SIGTERM. */
+    /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
     public static void serve(Map<String, String> env) {
         Config config = Config.load(env);
         Rehearsal.run(config);
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = start(config, loop);
+        Hangup.handle(() -> proxy.reload(env));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxy.drain(DRAIN_OPEN_MS);
             Runtime.getRuntime().halt(0);
         }, "drain"));
+        // last: from here on signals are heeded
+        loop.execute(() -> proxy.log.line("listening on " + proxy.address()));
     }
 
     static Proxy start(Config config, EventLoop loop) {
@@ -135,6 +138,16 @@
         }
     }
 
+    /** SIGHUP: of the configuration only discovery's address may change; a bad one changes nothing. */
+    void reload(Map<String, String> env) {
+        try {
+            Config now = Config.reload(env);
+            loop.execute(() -> discovery.moved(now.discovery));
+        } catch (BadInput e) {
+            loop.execute(() -> log.line("the old configuration is kept: " + e.getMessage()));
+        }
+    }
+
     private void begin() {
         tick();
         discovery.start();
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -4,8 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The list of cache nodes: what changes reach, and that a bad or failing discovery takes nothing away. */
 @Timeout(60)
@@ -94,6 +98,25 @@
         }
     }
 
+    @Test
+    void theWatchGoesOnWhereTheConfigurationReadAgainSays(@TempDir Path folder) throws Exception {
+        try (Fixture f = new Fixture(1); Peer.Listener other = new Peer.Listener()) {
+            Peer open = serve(f, f.client(), "a1", 0, null);
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(5, true));
+            open.expectEnd();
+            Path file = folder.resolve("config.json");
+            Map<String, String> env = Fixture.env(file, f.discovery.address());
+            Files.writeString(file, "{\"discovery\":");
+            f.proxy.reload(env); // kept as it was
+            String json = Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024);
+            Files.writeString(file, "{\"discovery\":\"" + other.address() + "\"," + json.substring(1));
+            f.proxy.reload(env);
+            assertEquals("GET /registry/instances?stream=1&index=5 HTTP/1.1", callLine(other.next()));
+            watch.expectEnd();
+        }
+    }
+
     @Test
     void whereListsArePushedTheWatchBeginsWithTheProxy() throws Exception {
         try (Fixture f = new Fixture(1, s -> s.replace("\"subscribe\"", "\"automatic\""), 1024)) {
--- /dev/null
+++ b/src/test/java/holdproxy/net/HangupTest.java
@@ -0,0 +1,19 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class HangupTest {
+
+    /** Not handled, the signal would end the program that runs this. */
+    @Test
+    void theSignalRunsTheAction() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        Hangup.handle(told::countDown);
+        new ProcessBuilder("sh", "-c", "kill -HUP " + ProcessHandle.current().pid()).start().waitFor();
+        assertTrue(told.await(20, TimeUnit.SECONDS));
+    }
+}
