End a connection that sends no whole command within 2.5 s

Garbage got its error line, but a peer that was silent, or stopped in the middle of a line or of a value, was held for as long as it liked, with one of the places for clients.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +17,8 @@
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
     private static final int LINGER_MS = 500;
+    /** One that has sent no whole command is owed an error or an end within 3 s; till then it holds a place. */
+    static final int UNHEARD_MS = 2500;
 
     /** A request's place in the order of answers. */
     static final class Slot {
@@ -25,6 +29,7 @@
     private final Proxy proxy;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
+    private Future<?> unheard;
     private boolean unread;
     private boolean closing;
     private boolean refusing;
@@ -41,6 +46,9 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        unheard = ctx.executor().schedule(() -> {
+            ctx.writeAndFlush(line("CLIENT_ERROR no command")).addListener(ChannelFutureListener.CLOSE);
+        }, UNHEARD_MS, TimeUnit.MILLISECONDS);
         proxy.opened(this);
     }
 
@@ -55,6 +63,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+        unheard.cancel(false);
         if (unread) {
             return; // behind a lost framing, or after the end of our sending: the client asks again elsewhere
         }
@@ -88,7 +97,11 @@
     }
 
     void answer(Slot slot, String line) {
-        answer(slot, Unpooled.copiedBuffer(line + "\r\n", StandardCharsets.ISO_8859_1));
+        answer(slot, line(line));
+    }
+
+    private static ByteBuf line(String text) {
+        return Unpooled.copiedBuffer(text + "\r\n", StandardCharsets.ISO_8859_1);
     }
 
     /** The one answer of this place; it goes out once those before it have. */
@@ -155,6 +168,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        unheard.cancel(false);
         proxy.closed(this);
         for (Slot s : slots) {
             if (s.answer != null) {
