--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -17,7 +17,7 @@
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
     private static final int LINGER_MS = 500;
-    /** One that has sent no whole command is owed an error or an end within 3 s; till then it holds a place. */
+    /** One that has sent no whole command is owed an error or its end within 3 s; it holds a place. */
     static final int UNHEARD_MS = 2500;
 
     /** A request's place in the order of answers. */
