--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -15,7 +15,7 @@
  * first clients would wait until they give up, and the module would take that for a lack of capacity.
  */
 final class Rehearsal {
-    /** Enough for what runs with each request to be compiled: that takes 200 calls. */
+    /** Enough for what runs with each request to be compiled, which takes 200 calls and then some time. */
     static final int ROUNDS = 600;
     private static final int ROUNDS_PER_CLIENT = 4;
 
