--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -398,11 +399,8 @@
             waiting.close();
             end.join(3000);
             assertFalse(end.isAlive());
-            try (Peer refused = Peer.to(address)) {
-                throw new AssertionError("still listening");
-            } catch (ConnectException e) {
-                assertTrue(e.getMessage().contains("refused"));
-            }
+            ConnectException refused = assertThrows(ConnectException.class, () -> Peer.to(address).close());
+            assertTrue(refused.getMessage().contains("refused"));
         }
     }
 }
