--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -95,7 +95,6 @@
     static final double ASK_US_PER_ROUTER = 400_000;
     static final long ASK_RETRY_US = 2_000_000;
     static final long REPORT_EVERY_US = 20_000_000;
-    static final String REPORT = "%s: origin chance %.2f, failures running %.0f, list calls failed %d";
     static final int ATTEMPTS_MOST = 8;
     static final int TIMER_ASK = 0;
     static final int TIMER_COPY = 1;
@@ -210,7 +209,11 @@
     private void report(long now, String what, Actions out) {
         if (now >= reportAt) {
             reportAt = now + REPORT_EVERY_US;
-            out.log(String.format(REPORT, what, originChance.get(now), streak, askFailures));
+            // joined and not formatted: a formatter's classes cost a starting proxy a tenth of a second
+            out.log(what + ": origin chance " + Math.round(100 * originChance.get(now)) / 100.0
+                    + ", failures running " + (long) streak + ", failing " + Math.round(100 * failing)
+                    + "%, answers crowded " + Math.round(100 * crowding)
+                    + "%, list calls failed " + askFailures);
         }
     }
 
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -78,7 +78,7 @@
             return false;
         }
         retired = true;
-        if (line.stream().anyMatch(other -> !other.over)) {
+        if (anyWaiting()) {
             return true;
         }
         boolean written = a.written;
@@ -109,11 +109,21 @@
         if (!a.over) {
             end(a, answer.outcome, answer);
         }
-        if (retired && line.stream().allMatch(o -> o.over)) {
+        if (retired && !anyWaiting()) {
             close();
         }
     }
 
+    /** Whether an attempt in line still waits for its answer. */
+    private boolean anyWaiting() {
+        for (Attempt a : line) {
+            if (!a.over) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Whether an answer is of the kind and bears the id of the attempt that is due one. */
     private static boolean fits(Answer answer, Attempt a) {
         Command c = a.exchange.command;
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -48,7 +48,8 @@
         long dialUs = config.settings.dialTimeoutUs > 0 ? config.settings.dialTimeoutUs : 1_000_000;
         long grace = config.settings.drainGraceUs;
         dialUs = grace > 0 ? Math.min(dialUs, grace / 2) : dialUs;
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Bootstrap bootstrap = new Bootstrap().group(loop)
+            .channelFactory(NioSocketChannel::new) // by reflection, a start would pay for it again and again
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialUs / 1000));
         return (address, c) -> bootstrap.clone().handler(new ChannelInitializer<Channel>() {
