Give the decisions, the simulator's wire, the settings and the sockets a package each

Change: moves only: policy (decides; no I/O, no clock), input (settings, BadInput), sim (the simulator's wire), net (sockets). Constants stand in the class that uses them. ArchitectureTest (ArchUnit) holds the arrows: policy knows nobody, no circles, no clock read elsewhere in net.

--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -1,6 +1,8 @@
 package holdproxy;
 
+import holdproxy.input.BadInput;
 import holdproxy.net.Proxy;
+import holdproxy.sim.SimHost;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
--- a/src/main/java/holdproxy/BadInput.java
+++ b/src/main/java/holdproxy/input/BadInput.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.input;
 
 /** Input that does not follow the wire; the message says what and where, on one line. */
 public final class BadInput extends RuntimeException {
--- a/src/main/java/holdproxy/SettingsText.java
+++ b/src/main/java/holdproxy/input/SettingsText.java
@@ -1,5 +1,6 @@
-package holdproxy;
+package holdproxy.input;
 
+import holdproxy.policy.Router;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -10,7 +11,7 @@
 
     private final Map<String, String> values = new HashMap<>();
 
-    SettingsText(String text) {
+    public SettingsText(String text) {
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
--- a/src/main/java/holdproxy/net/Answer.java
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -1,7 +1,7 @@
 package holdproxy.net;
 
-import holdproxy.Router;
-import holdproxy.SettingsText;
+import holdproxy.policy.Router;
+import holdproxy.input.SettingsText;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/holdproxy/net/Attempt.java
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -1,6 +1,6 @@
 package holdproxy.net;
 
-import holdproxy.Router;
+import holdproxy.policy.Router;
 import io.netty.util.concurrent.Future;
 
 /** One sending of a request to a cache node: from the module's wish to exactly one outcome. */
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -1,6 +1,6 @@
 package holdproxy.net;
 
-import holdproxy.Router;
+import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -1,9 +1,9 @@
 package holdproxy.net;
 
 import com.fasterxml.jackson.jr.ob.JSON;
-import holdproxy.BadInput;
-import holdproxy.Router;
-import holdproxy.SettingsText;
+import holdproxy.input.BadInput;
+import holdproxy.policy.Router;
+import holdproxy.input.SettingsText;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -1,7 +1,7 @@
 package holdproxy.net;
 
-import holdproxy.BadInput;
-import holdproxy.Router;
+import holdproxy.input.BadInput;
+import holdproxy.policy.Router;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
--- a/src/main/java/holdproxy/net/Log.java
+++ b/src/main/java/holdproxy/net/Log.java
@@ -3,14 +3,20 @@
 /** Changes and faults on standard error, so many in a while: a storm of faults must not fill a disk. */
 final class Log {
     private static final int MOST = 40;
-    private static final long WINDOW_NS = 10_000_000_000L;
+    private static final long WINDOW_US = 10_000_000;
 
-    private long windowStart = System.nanoTime();
+    private final Time time;
+    private long windowStart;
     private int lines;
 
+    Log(Time time) {
+        this.time = time;
+        windowStart = time.us();
+    }
+
     void line(String text) {
-        long now = System.nanoTime();
-        if (now - windowStart > WINDOW_NS) {
+        long now = time.us();
+        if (now - windowStart > WINDOW_US) {
             if (lines > MOST) {
                 System.err.println("holdproxy: " + (lines - MOST) + " lines left out");
             }
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -1,6 +1,6 @@
 package holdproxy.net;
 
-import holdproxy.Router;
+import holdproxy.policy.Router;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -1,8 +1,8 @@
 package holdproxy.net;
 
-import holdproxy.BadInput;
-import holdproxy.Choice;
-import holdproxy.Router;
+import holdproxy.input.BadInput;
+import holdproxy.policy.Choice;
+import holdproxy.policy.Router;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
@@ -54,10 +54,9 @@
     private static final int BIND_WAIT_MS = 100;
 
     private final Config config;
-    private final Log log = new Log();
+    private final Time time;
+    private final Log log;
     private final EventLoop loop;
-    private final long origin = System.nanoTime();
-    private final long unixAtOriginUs;
     private final Command.Names names;
     private final NodePools pools;
     private final Discovery discovery;
@@ -82,10 +81,11 @@
     private Channel listener;
     private boolean draining;
 
-    Proxy(Config config, EventLoop loop, NodePools.Dialer dialer) {
+    Proxy(Config config, EventLoop loop, Time time, NodePools.Dialer dialer) {
         this.config = config;
         this.loop = loop;
-        unixAtOriginUs = System.currentTimeMillis() * 1000;
+        this.time = time;
+        log = new Log(time);
         int left = config.sockets - OWN_DESCRIPTORS;
         mostSessions = left / 2;
         names = new Command.Names(new HashMap<>(), new HashMap<>());
@@ -119,7 +119,7 @@
     static Proxy start(Config config, EventLoop loop) {
         try {
             Proxy proxy = loop.submit(
-                () -> new Proxy(config, loop, NodePools.sockets(config, loop))).get();
+                () -> new Proxy(config, loop, Time.system(), NodePools.sockets(config, loop))).get();
             loop.submit(proxy::begin).get();
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
@@ -201,12 +201,12 @@
 
     /** The module's clock: microseconds, never going back. */
     long now() {
-        return (System.nanoTime() - origin) / 1000;
+        return time.us();
     }
 
     /** A Unix time on the module's clock; from one reading, so that a start stays the same number. */
     long monotonic(long unixMs) {
-        return unixMs * 1000 - unixAtOriginUs;
+        return time.monotonicUs(unixMs);
     }
 
     /** The module's calls do not nest: what its actions bring about at once is delivered after its return. */
--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -1,6 +1,6 @@
 package holdproxy.net;
 
-import holdproxy.Router;
+import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -31,7 +31,7 @@
 
     private int serve(Config config) {
         // an event loop that nobody runs: the timers set here, that for the node list among them, never fire
-        Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), this::dial);
+        Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), Time.system(), this::dial);
         Router.Node node = new Router.Node();
         proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(node, "rehearsal", config.listen)));
         int served = 0;
--- a/src/main/java/holdproxy/Blue.java
+++ b/src/main/java/holdproxy/policy/Blue.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.policy;
 
 import java.util.Arrays;
 
--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.policy;
 
 import java.util.Arrays;
 
@@ -27,7 +27,6 @@
     static final double SHARE_REQUESTS = 20;
     static final double SHARE_US = 0.3e6;
     static final double SHARE_MOST_US = 3e6;
-    static final double NODE_FADE_US = 5e6;
     // A quiet proxy comes by a node rarely: what it learnt there has to last for about this many visits.
     static final double NODE_FADE_VISITS = 2;
     static final double NODE_FADE_MOST_US = 60e6;
@@ -66,7 +65,6 @@
     static final int RANKED = 6;
     // A tie goes to the second candidate if the first reports this much more of its cores busy.
     static final double BUSY_TIE = 0.2;
-    static final double BUSY_FADE_US = 10e6;
     // A key is hot when seen before this lately and when it alone would fill this share of a node's part.
     static final double HOT_SEEN = 0.3;
     static final double HOT_SHARE = 0.5;
@@ -83,19 +81,11 @@
     // Second copies go out between these shares of the aim, by the round-trip estimate in between.
     static final double COPY_SOONEST = 0.3;
     static final double COPY_LATEST = 0.6;
-    // Connections: a failure cuts the time that one may idle by e, a use of one that had idled wins it back.
-    static final double THRIFT_STEP = 1;
-    static final double THRIFT_MOST = 12;
-    static final double THRIFT_FADE_US = 60e6;
-    // Silence tells of idling only beyond so many times what others came back from in about this time.
-    static final double PROVEN_MARGIN = 2;
-    static final double PROVEN_FADE_US = 10e6;
     // Discovery: first calls spread over this part of the time in which an instance has to ask.
     static final double ASK_SPREAD = 0.8;
     static final double ASK_US_PER_ROUTER = 400_000;
     static final long ASK_RETRY_US = 2_000_000;
     static final long REPORT_EVERY_US = 20_000_000;
-    static final int ATTEMPTS_MOST = 8;
     static final int TIMER_ASK = 0;
     static final int TIMER_COPY = 1;
 
@@ -128,7 +118,7 @@
     private double devUs;
     private final LongMap<Open> open = new LongMap<>();
     private final Fleet fleet;
-    private final Fading originChance = new Fading(NODE_FADE_US);
+    private final Fading originChance = new Fading(Target.FADE_US);
     private final Idling idling;
     private boolean subscribed;
     private int askFailures;
@@ -136,7 +126,7 @@
     public Choice(Settings settings, long seed, long nowUs, Actions out) {
         settings.check();
         set = settings;
-        attemptsMost = Math.min(ATTEMPTS_MOST, settings.maxAttempts);
+        attemptsMost = Math.min(Open.ATTEMPTS_MOST, settings.maxAttempts);
         random = new Random(seed);
         startedAt = nowUs;
         idling = new Idling(settings.idleCloseUs);
@@ -555,7 +545,7 @@
     private void nodeEvidence(Target t, boolean failure, double weight, long now) {
         double rate = rate(now) / Math.max(1, fleet.readyCount);
         step(t.chance, failure, rate, weight, now);
-        t.chance.fadeIn(Math.max(NODE_FADE_US, Math.min(NODE_FADE_MOST_US, NODE_FADE_VISITS / rate * 1e6)));
+        t.chance.fadeIn(Math.max(Target.FADE_US, Math.min(NODE_FADE_MOST_US, NODE_FADE_VISITS / rate * 1e6)));
     }
 
     /** BLUE for a single bucket; quiet proxies take larger steps. */
--- a/src/main/java/holdproxy/Fading.java
+++ b/src/main/java/holdproxy/policy/Fading.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.policy;
 
 /** One value with its last update, fading with time: a rate, a report or a single BLUE bucket. */
 final class Fading {
--- a/src/main/java/holdproxy/Open.java
+++ b/src/main/java/holdproxy/policy/Open.java
@@ -1,7 +1,9 @@
-package holdproxy;
+package holdproxy.policy;
 
 /** A request not yet concluded, or with attempts still out. */
 final class Open {
+    static final int ATTEMPTS_MOST = 8;
+
     final long id;
     final long key;
     final long arrived;
@@ -18,10 +20,10 @@
     /** Bits by attempt: still out, and not proven never to have run. */
     int out;
     int mayHaveRun;
-    final Target[] node = new Target[Choice.ATTEMPTS_MOST];
+    final Target[] node = new Target[ATTEMPTS_MOST];
     /** How long the connection had idled when the attempt was sent; -1: a new one. */
-    final long[] idledUs = new long[Choice.ATTEMPTS_MOST];
-    final long[] sentAt = new long[Choice.ATTEMPTS_MOST];
+    final long[] idledUs = new long[ATTEMPTS_MOST];
+    final long[] sentAt = new long[ATTEMPTS_MOST];
 
     Open(Router.Request q, Router.RequestClass type, int tenant, long now) {
         id = q.id;
--- a/src/main/java/holdproxy/Random.java
+++ b/src/main/java/holdproxy/policy/Random.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.policy;
 
 /** SplitMix64: the instance's own randomness, from its seed alone. */
 final class Random {
--- a/src/main/java/holdproxy/Router.java
+++ b/src/main/java/holdproxy/policy/Router.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.policy;
 
 /**
  * The routing decisions of one proxy in front of a fleet of cache nodes: events in, {@link Actions} out.
--- a/src/main/java/holdproxy/FrameReader.java
+++ b/src/main/java/holdproxy/sim/FrameReader.java
@@ -1,5 +1,6 @@
-package holdproxy;
+package holdproxy.sim;
 
+import holdproxy.input.BadInput;
 import java.lang.invoke.MethodHandles;
 import java.lang.invoke.VarHandle;
 import java.nio.ByteOrder;
--- a/src/main/java/holdproxy/FrameWriter.java
+++ b/src/main/java/holdproxy/sim/FrameWriter.java
@@ -1,5 +1,6 @@
-package holdproxy;
+package holdproxy.sim;
 
+import holdproxy.policy.Router;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/holdproxy/SimHost.java
+++ b/src/main/java/holdproxy/sim/SimHost.java
@@ -1,5 +1,9 @@
-package holdproxy;
+package holdproxy.sim;
 
+import holdproxy.input.BadInput;
+import holdproxy.input.SettingsText;
+import holdproxy.policy.Choice;
+import holdproxy.policy.Router;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -8,7 +12,7 @@
 import java.util.Map;
 
 /** The batch loop: decodes events, hands each to its instance's router, and answers with their actions. */
-final class SimHost {
+public final class SimHost {
     private static final int OUTCOME = 16;
     private static final int CHECKED = 17;
     private static final int REQ = 18;
@@ -45,13 +49,13 @@
         String[] reportFields;
     }
 
-    SimHost(InputStream in, OutputStream out) {
+    public SimHost(InputStream in, OutputStream out) {
         this.in = in;
         this.out = out;
     }
 
     /** Runs until the clean end of input. */
-    void run() throws IOException {
+    public void run() throws IOException {
         byte[] head = new byte[HEADER];
         for (long batches = 0;; batches++) {
             int got = in.readNBytes(head, 0, HEADER);
--- /dev/null
+++ b/src/test/java/holdproxy/ArchitectureTest.java
@@ -0,0 +1,55 @@
+package holdproxy;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Which package may know which: the arrows go one way, towards the decisions. */
+class ArchitectureTest {
+    private static final JavaClasses MAIN = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("holdproxy");
+
+    @Test
+    void theDecisionModuleKnowsNobodyAndDoesNoInput() {
+        classes().that().resideInAPackage("holdproxy.policy").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("holdproxy.policy", "java.lang", "java.util", "java.util.function", "java.util.stream")
+                .check(MAIN);
+    }
+
+    @Test
+    void theDecisionModuleReadsNoClock() {
+        noClasses().that().resideInAPackage("holdproxy.policy").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(MAIN);
+    }
+
+    @Test
+    void theSimulatorsWireAndTheSocketsDoNotKnowEachOther() {
+        classes().that().resideInAPackage("holdproxy.sim").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("holdproxy.sim", "holdproxy.input", "holdproxy.policy", "java..").check(MAIN);
+        noClasses().that().resideInAPackage("holdproxy.net..").should().dependOnClassesThat()
+                .resideInAnyPackage("holdproxy.sim..", "holdproxy").check(MAIN);
+    }
+
+    @Test
+    void settingsAreReadWithoutSocketsOrWire() {
+        classes().that().resideInAPackage("holdproxy.input").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("holdproxy.input", "holdproxy.policy", "java.lang", "java.util").check(MAIN);
+    }
+
+    @Test
+    void noPackagesDependOnEachOtherInACircle() {
+        slices().matching("holdproxy.(*)..").should().beFreeOfCycles().check(MAIN);
+    }
+
+    @Test
+    void timeEntersTheSocketsInOnePlace() {
+        noClasses().that().resideInAPackage("holdproxy.net..").and().doNotHaveSimpleName("Time")
+                .should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(MAIN);
+    }
+}
--- a/src/test/java/holdproxy/net/ClientSessionTest.java
+++ b/src/test/java/holdproxy/net/ClientSessionTest.java
@@ -27,7 +27,7 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
         Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
-        proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), (address, c) -> { });
+        proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), Time.system(), (address, c) -> { });
     }
 
     private EmbeddedChannel peer(String sends) {
--- a/src/test/java/holdproxy/net/ConfigTest.java
+++ b/src/test/java/holdproxy/net/ConfigTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdproxy.BadInput;
-import holdproxy.Router;
+import holdproxy.input.BadInput;
+import holdproxy.policy.Router;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/holdproxy/HostileEventsTest.java
+++ b/src/test/java/holdproxy/policy/HostileEventsTest.java
@@ -1,4 +1,4 @@
-package holdproxy;
+package holdproxy.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/holdproxy/SettingsTextTest.java
+++ b/src/test/java/holdproxy/policy/SettingsTextTest.java
@@ -1,9 +1,11 @@
-package holdproxy;
+package holdproxy.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.input.BadInput;
+import holdproxy.input.SettingsText;
 import org.junit.jupiter.api.Test;
 
 class SettingsTextTest {
--- a/src/test/java/holdproxy/WireTest.java
+++ b/src/test/java/holdproxy/sim/WireTest.java
@@ -1,10 +1,12 @@
-package holdproxy;
+package holdproxy.sim;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.input.BadInput;
+import holdproxy.policy.Router;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
