--- a/deploy/ArchiveStandIn.java
+++ b/deploy/ArchiveStandIn.java
@@ -63,15 +63,15 @@
     /** The whole list, one change of it, and a sign of life, as a watch gives them. */
     private static void watch(OutputStream out, int port) throws IOException {
         write(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
-        chunk(out, list(1, true, port, "SERVING"));
-        chunk(out, list(2, false, port, "SERVING"));
+        chunk(out, list(1, true, port));
+        chunk(out, list(2, false, port));
         chunk(out, "\n");
     }
 
-    private static String list(int version, boolean full, int port, String state) {
+    private static String list(int version, boolean full, int port) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[{\"id\":\"s-1\",\"addr\":\"127.0.0.1:"
-            + port + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":1,\"state\":\"" + state
-            + "\",\"weight\":1.0,\"started_ms\":0}]}\n";
+            + port + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":1,\"state\":\"SERVING\","
+            + "\"weight\":1.0,\"started_ms\":0}]}\n";
     }
 
     private static void chunk(OutputStream out, String text) throws IOException {
--- a/src/test/java/holdproxy/policy/BalanceTest.java
+++ b/src/test/java/holdproxy/policy/BalanceTest.java
@@ -53,7 +53,7 @@
             int asked = 0;
             int refused = 0;
             for (long at = now; at < end; at = now + (long) (1e6 / perSecond)) {
-                deliver(at);
+                deliver(at, world);
                 now = at;
                 long id = next++;
                 int sent = out.sent.size();
@@ -67,7 +67,7 @@
             return (double) refused / asked;
         }
 
-        private void deliver(long until) {
+        private void deliver(long until, World world) {
             while (!due.isEmpty() && due.peek().at <= until) {
                 Due d = due.poll();
                 now = d.at;
@@ -78,10 +78,7 @@
             }
         }
 
-        private World world;
-
-        private void follow(World newWorld) {
-            world = newWorld;
+        private void follow(World world) {
             for (; seen < out.sent.size(); seen++) {
                 Fixture.Sent s = out.sent.get(seen);
                 long answer = world.answerUs(s.node(), now, random);
