Keep the proxy's own standstills out of what its module learns

A restarted proxy that takes over everybody's connections at half a core stands still for 50 to 75% of its first half second.

Lateness keeps how late the loop's tick is. Latencies are told without it, and an attempt that timed out after a wait of which the loop stood still for over a quarter is told as taken back (or not sent), of which the module learns nothing. Late answers count by what they took themselves.

--- a/src/main/java/holdproxy/net/Attempt.java
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -8,6 +8,8 @@
     final Exchange exchange;
     final int number;
     final long sentUs;
+    /** For how long the loop had ever stood still when it was sent. */
+    final long stoodStillUs;
     /** How long the proxy waits for it. */
     final long waitUs;
     /** Whether its last byte has gone to the kernel: from there on it may run. */
@@ -16,10 +18,11 @@
     NodeConnection connection;
     Future<?> timer;
 
-    Attempt(Exchange exchange, int number, long sentUs, long waitUs) {
+    Attempt(Exchange exchange, int number, long sentUs, long stoodStillUs, long waitUs) {
         this.exchange = exchange;
         this.number = number;
         this.sentUs = sentUs;
+        this.stoodStillUs = stoodStillUs;
         this.waitUs = waitUs;
     }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -47,8 +47,8 @@
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     private static final long DRAIN_OPEN_MS = 500;
     private static final long DRAIN_MOST_MS = 3_600;
-    private static final long TICK_US = 20_000;
-    private static final long JUST_US = 5_000;
+    /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
+    private static final int OWN_PART = 4;
     private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
@@ -71,11 +71,9 @@
     private final Set<Integer> listed = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final Lateness lateness;
     private boolean inEvent;
     private long nextId = 1;
-    private long tickDueUs;
-    private long lastTickUs;
-    private long lastLateUs;
     private long heldBytes;
     private long untakenBytes;
     private Channel listener;
@@ -86,6 +84,7 @@
         this.loop = loop;
         this.time = time;
         log = new Log(time);
+        lateness = new Lateness(now());
         int left = config.sockets - OWN_DESCRIPTORS;
         mostSessions = left / 2;
         names = new Command.Names(new HashMap<>(), new HashMap<>());
@@ -149,7 +148,7 @@
     }
 
     private void begin() {
-        tick();
+        tickLater();
         discovery.start();
         if (!config.settings.askForNodes) {
             discovery.watch();
@@ -181,22 +180,15 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
-    private void tick() {
-        long now = now();
-        lastLateUs = tickDueUs == 0 ? 0 : now - tickDueUs;
-        lastTickUs = now;
-        tickDueUs = now + TICK_US;
-        loop.schedule(this::tick, TICK_US, TimeUnit.MICROSECONDS);
+    private void tickLater() {
+        loop.schedule(() -> {
+            tick();
+            tickLater();
+        }, Lateness.TICK_US, TimeUnit.MICROSECONDS);
     }
 
-    /**
-     * For how long the loop stood still before this, as in a pause of the collector or of the machine: what
-     * is read now may have waited so long. Input is mostly read before timers run, and then the tick is still
-     * overdue; where it ran first, it has just been late.
-     */
-    private long stoodStillUs(long now) {
-        long late = now - lastTickUs < JUST_US ? Math.max(lastLateUs, now - tickDueUs) : now - tickDueUs;
-        return late > TICK_US ? late : 0;
+    void tick() {
+        lateness.ticked(now());
     }
 
     /** The module's clock: microseconds, never going back. */
@@ -277,7 +269,7 @@
         long classUs = config.settings.classes[c.requestClass].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
-        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - stoodStillUs(now);
+        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - lateness.justNowUs(now);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
         heldBytes += c.valueBytes();
@@ -355,22 +347,30 @@
         }
         settle(x);
         long now = now();
+        // while the loop stood still the answer may have lain there: that time says nothing of the node
+        long latencyUs = Math.max(0, now - a.sentUs - (lateness.totalUs(now) - a.stoodStillUs));
         event(() -> {
             if (answer != null) {
                 answer.report(report);
             } else {
                 report.clear();
             }
-            router.onOutcome(now(), x.id, a.number, outcome, now - a.sentUs, x.answered,
+            router.onOutcome(now(), x.id, a.number, outcome, latencyUs, x.answered,
                 answer == null ? Router.CacheNote.NONE : answer.note, report, this);
         });
     }
 
-    private void giveUp(Attempt a, Router.Outcome outcome) {
+    /**
+     * The wait is over. Where the loop stood still for a good part of it, the module is told of an attempt
+     * that was taken back, of which it learns nothing: who spent the time was this proxy and not the node.
+     */
+    private void timedOut(Attempt a) {
         if (!a.over) {
+            boolean ownFault = lateness.totalUs(now()) - a.stoodStillUs > a.waitUs / OWN_PART;
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
-            boolean neverRan = !a.connection.giveUp(a) && outcome == Router.Outcome.TIMEOUT;
-            ended(a, neverRan ? Router.Outcome.CONNECT_FAILED : outcome, null);
+            boolean neverRan = !a.connection.giveUp(a);
+            ended(a, neverRan ? ownFault ? Router.Outcome.NOT_SENT : Router.Outcome.CONNECT_FAILED
+                : ownFault ? Router.Outcome.CANCELLED : Router.Outcome.TIMEOUT, null);
         }
     }
 
@@ -422,10 +422,10 @@
         long now = now();
         long left = x.dueUs - now;
         long wait = timeoutUs != 0 ? Math.min(timeoutUs, left) : left;
-        Attempt a = new Attempt(x, x.attempts.size(), now, wait);
+        Attempt a = new Attempt(x, x.attempts.size(), now, lateness.totalUs(now), wait);
         x.attempts.add(a);
         x.out++;
-        a.timer = loop.schedule(() -> giveUp(a, Router.Outcome.TIMEOUT), Math.max(0, wait),
+        a.timer = loop.schedule(() -> timedOut(a), Math.max(0, wait),
             TimeUnit.MICROSECONDS);
         if (x.answered || wait <= 0 || pool == null || a.number >= config.settings.maxAttempts) {
             ended(a, Router.Outcome.NOT_SENT, null);
@@ -455,7 +455,11 @@
     public void cancel(long id, int attempt) {
         Exchange x = table.get(id);
         if (x != null && attempt < x.attempts.size()) {
-            giveUp(x.attempts.get(attempt), Router.Outcome.CANCELLED);
+            Attempt a = x.attempts.get(attempt);
+            if (!a.over) {
+                a.connection.giveUp(a);
+                ended(a, Router.Outcome.CANCELLED, null);
+            }
         }
     }
 
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -453,7 +453,7 @@
         }
         boolean fromOrigin = fleet.isOrigin(t);
         if (o != Outcome.CANCELLED && o != Outcome.NOT_SENT) {
-            learn(r, t, fromOrigin, o, note, latency, now);
+            learn(r, attempt, t, fromOrigin, o, note, latency, now);
         }
         if (r.done || concluded) {
             conclude(r, out);
@@ -466,10 +466,11 @@
         }
     }
 
-    private void learn(Open r, Target t, boolean fromOrigin, Outcome o, CacheNote note, long latency,
-            long now) {
+    private void learn(Open r, int attempt, Target t, boolean fromOrigin, Outcome o, CacheNote note,
+            long latency, long now) {
         boolean good = o == Outcome.OK || o == Outcome.MISS;
-        boolean late = good && now - r.arrived > r.type.aimUs;
+        // by what the answer took: what it lay unread is not in the latency
+        boolean late = good && r.sentAt[attempt] + latency - r.arrived > r.type.aimUs;
         boolean fetched = !set.aside && !r.write && note != CacheNote.HIT && note != CacheNote.NONE;
         double ofNode = t.chance.get(now); // as known before this outcome, which is one failure only
         if (fromOrigin || fetched) {
--- /dev/null
+++ b/src/test/java/holdproxy/net/LatenessTest.java
@@ -0,0 +1,139 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.policy.Router;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class LatenessTest {
+    private static final long MS = 1000;
+
+    private final MockTicker ticker = Ticker.newMockTicker();
+    private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
+    private Proxy proxy;
+    private EmbeddedChannel client;
+    /** The latest connection to the only node. */
+    private EmbeddedChannel node;
+
+    @BeforeEach
+    void start(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+        proxy = new Proxy(config, timers.eventLoop(), new Time(ticker, () -> 0),
+            (address, c) -> node = new EmbeddedChannel(new Answer.Decoder(), c));
+        proxy.nodes(Router.ListKind.CACHED,
+            List.of(new Discovery.Entry(new Router.Node(), "node", config.listen)));
+        client = new EmbeddedChannel(proxy.handlers());
+    }
+
+    @Test
+    void aLoopOnTimeHasStoodStillForNothing() {
+        Lateness lateness = new Lateness(0);
+        for (long now = 20 * MS; now <= 200 * MS; now += 20 * MS) {
+            lateness.ticked(now);
+        }
+        assertEquals(0, lateness.justNowUs(219 * MS));
+        assertEquals(0, lateness.totalUs(219 * MS));
+    }
+
+    @Test
+    void aStandstillIsSeenBeforeItsTickRunsAndCountedOnceAfter() {
+        Lateness lateness = new Lateness(0);
+        assertEquals(300 * MS, lateness.justNowUs(320 * MS));
+        assertEquals(300 * MS, lateness.totalUs(320 * MS));
+        lateness.ticked(320 * MS);
+        assertEquals(300 * MS, lateness.justNowUs(321 * MS), "input read right after it waited as long");
+        assertEquals(0, lateness.justNowUs(330 * MS));
+        assertEquals(300 * MS, lateness.totalUs(330 * MS));
+        lateness.ticked(340 * MS);
+        assertEquals(400 * MS, lateness.totalUs(460 * MS), "a second one adds to it");
+    }
+
+    /** A proxy short of processor time, as right after a restart, in front of nodes that answer at once. */
+    @Test
+    void answersThatLayThereWhileTheLoopStoodStillAreNotTakenForQueues() {
+        int refused = 0;
+        for (int i = 0; i < 300; i++) {
+            client.writeInbound(bytes(Fixture.read("r" + i, 5000)));
+            // of an aim of 750 ms: every third answer is read too late, the others after half of it
+            ticker.advance(i % 3 == 0 ? 800 : 400, TimeUnit.MILLISECONDS);
+            refused += refusedOrAnswered("r" + i);
+            proxy.tick(); // timers run after input
+        }
+        assertEquals(0, refused);
+    }
+
+    /** The timers that are due when it runs again end requests that no node was slow with. */
+    @Test
+    void timeOutsOfAStandstillAreNotTakenForSilence() {
+        timeOuts(40, 800, 1);
+        assertEquals(0, refusedOf(100));
+    }
+
+    @Test
+    void timeOutsOfALoopOnTimeAre() {
+        timeOuts(40, 20, 40);
+        int refused = refusedOf(100);
+        assertTrue(refused > 50, refused + " of 100 refused");
+    }
+
+    /** Requests in a row that the node never answers, the loop running so many times until each is due. */
+    private void timeOuts(int requests, int runEveryMs, int runs) {
+        for (int i = 0; i < requests; i++) {
+            client.writeInbound(bytes(Fixture.read("t" + i, 800)));
+            for (int run = 0; run < runs; run++) {
+                ticker.advance(runEveryMs, TimeUnit.MILLISECONDS);
+                timers.runScheduledPendingTasks();
+                proxy.tick();
+            }
+            assertTrue(text(client).startsWith("SERVER_ERROR busy"), "out of time or refused");
+        }
+    }
+
+    private int refusedOf(int requests) {
+        int refused = 0;
+        for (int i = 0; i < requests; i++) {
+            client.writeInbound(bytes(Fixture.read("r" + i, 800)));
+            refused += refusedOrAnswered("r" + i);
+        }
+        return refused;
+    }
+
+    /** 1 where the request was refused at once; else the node answers it. */
+    private int refusedOrAnswered(String id) {
+        String refusal = text(client);
+        if (refusal.isEmpty()) {
+            node.writeInbound(bytes("VA 5 O" + id + "\r\nhello\r\n"));
+            assertTrue(text(client).startsWith("VA 5 O" + id));
+        }
+        return refusal.isEmpty() ? 0 : 1;
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String text(EmbeddedChannel channel) {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            text.append(b.toString(StandardCharsets.ISO_8859_1));
+            b.release();
+        }
+        return text.toString();
+    }
+}
