Give Netty a logger of our own, so that a start sets up no logging library

Netty looks for SLF4J and Log4j, which are not there, and then sets up java.util.logging: some 80 classes and their configuration, for warnings that nobody formats. NettyLog writes its warnings and errors as lines of the proxy's log.

Compiler settings (inlining, threads, thresholds) gave nothing beyond the noise.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -102,6 +102,7 @@
 
     /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
     public static void serve(Map<String, String> env) {
+        NettyLog.install(new Log(Time.system()));
         Config config = Config.load(env);
         Rehearsal.run(config);
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
