Blame tenants for time-outs in full once 15% of answers are crowded

Time-outs weigh against their tenant by how many answers are crowded, in full from 20%; in real overload the door then closes late.

--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -55,7 +55,7 @@
     static final double USUAL_PART = 0.7;
     // Queues show in answers that took over this part of their aim: crowded. So many of them tell it surely.
     static final double CROWDED_PART = 0.5;
-    static final double CROWDED_SURE = 0.2;
+    static final double CROWDED_SURE = 0.15;
     // About this part of all requests goes on to the origin; only the steps of its bucket depend on it.
     static final double ORIGIN_PART = 0.1;
     // The origin serves every proxy: its bucket balances at about a sixth of fetches failing, not at half.
