--- a/src/main/java/holdproxy/lab/CacheNode.java
+++ b/src/main/java/holdproxy/lab/CacheNode.java
@@ -207,8 +207,7 @@
         if (job.command.line().startsWith("ms ")) {
             register.write(job.id, key, job.command.field("k"), job.command.field("c").equals("renewal"),
                 receipt -> ran(job, receipt));
-        } else if (memory.containsKey(key)) {
-            memory.get(key);
+        } else if (memory.get(key) != null) { // which also makes it the latest used
             ran(job, null);
         } else {
             register.fetch(job.id, key, version -> {
--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -88,11 +88,13 @@
         }
     }
 
-    private static ByteBuf bytes(String text) {
+    /** As the wire has it. */
+    static ByteBuf bytes(String text) {
         return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
     }
 
-    private static String text(EmbeddedChannel channel) {
+    /** All that was written on a channel since this was asked last. */
+    static String text(EmbeddedChannel channel) {
         StringBuilder text = new StringBuilder();
         for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
             text.append(b.toString(StandardCharsets.ISO_8859_1));
--- a/src/test/java/holdproxy/net/LatenessTest.java
+++ b/src/test/java/holdproxy/net/LatenessTest.java
@@ -1,11 +1,11 @@
 package holdproxy.net;
 
+import static holdproxy.net.Rehearsal.bytes;
+import static holdproxy.net.Rehearsal.text;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.policy.Router;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -13,7 +13,6 @@
 import io.netty.util.concurrent.Ticker;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -138,17 +137,4 @@
         }
         return refusal.isEmpty() ? 0 : 1;
     }
-
-    private static ByteBuf bytes(String text) {
-        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
-    }
-
-    private static String text(EmbeddedChannel channel) {
-        StringBuilder text = new StringBuilder();
-        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
-            text.append(b.toString(StandardCharsets.ISO_8859_1));
-            b.release();
-        }
-        return text.toString();
-    }
 }
