--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -1,25 +1,29 @@
 package holdproxy;
 
 import holdproxy.input.BadInput;
+import holdproxy.lab.LabCommand;
 import holdproxy.net.Proxy;
 import holdproxy.sim.SimHost;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.util.Arrays;
 
-/** Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire. */
+/** Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire,
+ * {@code lab} towns in virtual time. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) {
-        String command = args.length == 1 ? args[0] : "";
+        String command = args.length == 1 ? args[0] : args.length > 1 && args[0].equals("lab") ? "lab" : "";
         switch (command) {
             case "serve" -> serve();
             case "simhost" -> simhost();
+            case "lab" -> System.exit(LabCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             default -> {
-                System.err.println("usage: java -jar holdproxy.jar serve | simhost");
+                System.err.println("usage: java -jar holdproxy.jar serve | simhost | lab hunt");
                 System.exit(2);
             }
         }
--- /dev/null
+++ b/src/main/java/holdproxy/lab/CacheNode.java
@@ -0,0 +1,269 @@
+package holdproxy.lab;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * A cache node. What runs shares its cores evenly: with n requests running, each gets min(1, cores / n)
+ * of a core
+ * of the node's speed. Up to {@code slots} run, {@code queue} more wait, and the next is turned away. A
+ * started
+ * node has {@code coldFrom} of its speed and comes up to all of it over {@code coldUs}.
+ */
+final class CacheNode {
+    /**
+     * What a node is made of.
+     *
+     * @param cores cores
+     * @param speed of a core, 1 being standard
+     * @param slots requests that run at once
+     * @param queue requests that wait
+     * @param workUs mean work of a request on a standard core, in microseconds; exponential
+     * @param coldFrom part of its speed at its start
+     * @param coldUs until it has all of it
+     * @param keys keys that it holds
+     */
+    record Kind(int cores, double speed, int slots, int queue, double workUs, double coldFrom, long coldUs,
+            int keys) {
+    }
+
+    /** A command and the connection that is due its answer. */
+    private final class Job {
+        final MetaLines.Message command;
+        final Connection connection;
+        final String id;
+        final long ofLife = life;
+        double leftUs;
+        String answer;
+
+        Job(MetaLines.Message command, Connection connection) {
+            this.command = command;
+            this.connection = connection;
+            id = command.flag('O');
+        }
+    }
+
+    final String name;
+    final InetSocketAddress address;
+    private final Kind kind;
+    private final VirtualLoop loop;
+    private final MemoryNetwork network;
+    private final TownRecord record;
+    private final MemberRegister register;
+    private final SplittableRandom random;
+    private final List<Job> running = new ArrayList<>();
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private final Set<Channel> connections = new LinkedHashSet<>();
+    private final Map<String, String> memory;
+    private Channel listener;
+    private long startedUs = Long.MIN_VALUE;
+    private long progressUs;
+    private long plan;
+    private double slowness = 1;
+    private boolean draining;
+    private long made;
+    private int life;
+
+    CacheNode(String name, InetSocketAddress address, Kind kind, VirtualLoop loop, MemoryNetwork network,
+            TownRecord record, MemberRegister register, SplittableRandom random) {
+        this.name = name;
+        this.address = address;
+        this.kind = kind;
+        this.loop = loop;
+        this.network = network;
+        this.record = record;
+        this.register = register;
+        this.random = random;
+        memory = new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+                return size() > kind.keys;
+            }
+        };
+        register.knows(this);
+    }
+
+    /** Comes up, with nothing kept; {@code cold}: short of its speed at first. */
+    void start(boolean cold) {
+        startedUs = cold ? loop.nowUs() : Long.MIN_VALUE;
+        draining = false;
+        memory.clear();
+        listener = network.listen(address, () -> new ChannelHandler[] {new MetaLines(), new Connection()})
+            .channel();
+    }
+
+    /** Finishes what it has and turns the rest away. */
+    void drain() {
+        draining = true;
+        record.add(loop.nowUs(), Event.Kind.FAULT, name, "", "drain");
+    }
+
+    /** The process dies: connections are reset, what ran is gone. */
+    void crash() {
+        record.add(loop.nowUs(), Event.Kind.FAULT, name, "", "crash");
+        listener.close();
+        life++;
+        running.clear();
+        waiting.clear();
+        plan++;
+        List.copyOf(connections).forEach(Channel::close);
+    }
+
+    /** Runs so many times slower from now on. */
+    void slow(double times) {
+        record.add(loop.nowUs(), Event.Kind.FAULT, name, "", "slow " + times);
+        progress();
+        slowness = times;
+        planNext();
+    }
+
+    void drop(String key) {
+        memory.remove(key);
+    }
+
+    private void arrived(Job job) {
+        String writeKey = job.command.field("k");
+        record.add(loop.nowUs(), Event.Kind.ARRIVED, name, job.id,
+            (writeKey.isEmpty() ? "-" : writeKey) + " " + job.connection.proxy);
+        if (draining || running.size() == kind.slots && waiting.size() == kind.queue) {
+            finish(job, "SERVER_ERROR busy\r\n");
+        } else if (running.size() == kind.slots) {
+            waiting.add(job);
+        } else {
+            run(job);
+        }
+    }
+
+    private void run(Job job) {
+        progress();
+        job.leftUs = -kind.workUs * Math.log(1 - random.nextDouble());
+        running.add(job);
+        planNext();
+    }
+
+    /** Work done a microsecond on each of those that run. */
+    private double rate() {
+        double warm = startedUs == Long.MIN_VALUE ? 1 : Math.min(1,
+            kind.coldFrom + (1 - kind.coldFrom) * (loop.nowUs() - startedUs) / kind.coldUs);
+        return kind.speed * warm / slowness * Math.min(1, (double) kind.cores / running.size());
+    }
+
+    private void progress() {
+        double done = (loop.nowUs() - progressUs) * (running.isEmpty() ? 0 : rate());
+        progressUs = loop.nowUs();
+        running.forEach(j -> j.leftUs -= done);
+    }
+
+    private void planNext() {
+        long number = ++plan;
+        double least = Double.MAX_VALUE;
+        for (Job j : running) {
+            least = Math.min(least, j.leftUs);
+        }
+        if (!running.isEmpty()) {
+            loop.after((long) Math.ceil(Math.max(0, least) / rate()), () -> {
+                if (number == plan) {
+                    stepped();
+                }
+            });
+        }
+    }
+
+    private void stepped() {
+        progress();
+        List<Job> done = new ArrayList<>();
+        for (Job j : running) {
+            if (j.leftUs < 1) {
+                done.add(j);
+            }
+        }
+        running.removeAll(done);
+        while (running.size() < kind.slots && !waiting.isEmpty()) {
+            run(waiting.poll());
+        }
+        planNext();
+        done.forEach(this::worked);
+    }
+
+    /** The node's own work is done: a value from memory, or on to the register. */
+    private void worked(Job job) {
+        String key = job.command.word(1);
+        if (job.command.line().startsWith("ms ")) {
+            register.write(job.id, key, job.command.field("k"), job.command.field("c").equals("renewal"),
+                receipt -> ran(job, receipt));
+        } else if (memory.containsKey(key)) {
+            memory.get(key);
+            ran(job, null);
+        } else {
+            register.fetch(job.id, key, version -> {
+                memory.put(key, version);
+                ran(job, null);
+            });
+        }
+    }
+
+    private void ran(Job job, String receipt) {
+        if (job.ofLife != life) {
+            return; // it died while the register worked
+        }
+        String value = receipt != null ? receipt : name + "." + ++made;
+        record.add(loop.nowUs(), Event.Kind.RAN, name, job.id, value);
+        finish(job, receipt != null ? "HD O" + job.id + " c" + value + "\r\n"
+            : "VA " + value.length() + " O" + job.id + "\r\n" + value + "\r\n");
+    }
+
+    private void finish(Job job, String answer) {
+        job.answer = answer;
+        job.connection.flushInOrder();
+    }
+
+    /** A proxy's connection: commands begin when they come and are answered in their order. */
+    private final class Connection extends SimpleChannelInboundHandler<MetaLines.Message> {
+        private final ArrayDeque<Job> line = new ArrayDeque<>();
+        private Channel channel;
+        private String proxy;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            proxy = MemoryNetwork.peer(channel);
+            connections.add(channel);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, MetaLines.Message command) {
+            Job job = new Job(command, this);
+            line.add(job);
+            arrived(job);
+        }
+
+        void flushInOrder() {
+            while (!line.isEmpty() && line.peek().answer != null) {
+                ByteBuf bytes = Unpooled.copiedBuffer(line.poll().answer, StandardCharsets.ISO_8859_1);
+                channel.pipeline().write(bytes);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(ctx.channel());
+            waiting.removeAll(line); // nobody waits any more for what has not begun
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/DiscoveryService.java
@@ -0,0 +1,145 @@
+package holdproxy.lab;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The platform's list of nodes over HTTP: one call after another, and watches that are told of changes. */
+final class DiscoveryService {
+    private static final long BEAT_US = 2_000_000;
+
+    private record Change(long version, String node, String entry, String state) {
+    }
+
+    private final VirtualLoop loop;
+    private final TownRecord record;
+    private final long callUs;
+    private final List<Change> changes = new ArrayList<>();
+    /** Watches and the proxy behind each. */
+    private final Map<Channel, String> watches = new LinkedHashMap<>();
+    private final Map<String, Change> latest = new LinkedHashMap<>();
+    private long version;
+    private long freeAtUs;
+    private boolean down;
+
+    /** Each call takes {@code callUs}. */
+    DiscoveryService(VirtualLoop loop, TownRecord record, long callUs) {
+        this.loop = loop;
+        this.record = record;
+        this.callUs = callUs;
+    }
+
+    void start(MemoryNetwork network, InetSocketAddress address) {
+        network.listen(address, () -> new ChannelHandler[] {new HttpServerCodec(), new Call()});
+        beat();
+    }
+
+    /** Down, it answers 503, and its watches have ended. */
+    void down(boolean isDown) {
+        record.add(loop.nowUs(), Event.Kind.FAULT, "discovery", "", isDown ? "down" : "up");
+        down = isDown;
+        if (isDown) {
+            List.copyOf(watches.keySet()).forEach(Channel::close);
+            watches.clear();
+        }
+    }
+
+    /** A node's state is from now on: SERVING, DRAINING or DELETED. */
+    void set(String node, InetSocketAddress address, String zone, String kind, String state, long startedMs) {
+        String entry = "{\"id\":\"" + node + "\",\"addr\":\"" + text(address) + "\",\"zone\":\"" + zone
+            + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
+            + "\",\"weight\":1.0,\"started_ms\":" + startedMs + "}";
+        Change change = new Change(++version, node, entry, state);
+        changes.add(change);
+        if (state.equals("DELETED")) {
+            latest.remove(node);
+        } else {
+            latest.put(node, change);
+        }
+        watches.forEach((watch, proxy) -> {
+            chunk(watch, list(false, List.of(change)));
+            told(proxy, change);
+        });
+    }
+
+    /** The whole list as it is now. */
+    String whole() {
+        return list(true, List.copyOf(latest.values()));
+    }
+
+    private String list(boolean full, List<Change> entries) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
+            + String.join(",", entries.stream().map(Change::entry).toList()) + "]}";
+    }
+
+    private void told(String proxy, Change change) {
+        record.add(loop.nowUs(), Event.Kind.TOLD, proxy, change.node, change.state);
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private static void chunk(Channel watch, String line) {
+        watch.writeAndFlush(new DefaultHttpContent(
+            Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8)));
+    }
+
+    private void beat() {
+        watches.keySet().forEach(w -> chunk(w, ""));
+        loop.after(BEAT_US, this::beat);
+    }
+
+    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message instanceof HttpRequest request) {
+                QueryStringDecoder asked = new QueryStringDecoder(request.uri());
+                freeAtUs = Math.max(freeAtUs, loop.nowUs()) + callUs;
+                loop.after(freeAtUs - loop.nowUs(), () -> answer(ctx.channel(), asked.parameters()));
+            }
+        }
+
+        private void answer(Channel ch, Map<String, List<String>> asked) {
+            if (down) {
+                ch.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.SERVICE_UNAVAILABLE));
+                ch.close();
+                return;
+            }
+            DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            ch.writeAndFlush(head);
+            String proxy = MemoryNetwork.peer(ch);
+            long since = asked.containsKey("index") ? Long.parseLong(asked.get("index").get(0)) : 0;
+            List<Change> missed = changes.stream().filter(c -> c.version > since).toList();
+            chunk(ch, list(false, missed));
+            missed.forEach(c -> told(proxy, c));
+            watches.put(ch, proxy);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            watches.remove(ctx.channel());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/Event.java
@@ -0,0 +1,38 @@
+package holdproxy.lab;
+
+/**
+ * One line of the town's own record, which auditors read.
+ *
+ * @param us when, in microseconds of the town's time
+ * @param kind what happened
+ * @param where the host that saw it
+ * @param id the request's id where it is about one, else empty
+ * @param detail what else there is to it, by kind
+ */
+record Event(long us, Kind kind, String where, String id, String detail) {
+    enum Kind {
+        /** A client wrote a request's last byte; detail: class, key of a write or -, and wait in ms. */
+        ASKED,
+        /** A client has read an answer; detail: its first line, and the value. */
+        ANSWERED,
+        /** A client gave a request up and closed its connection. */
+        LEFT,
+        /** A proxy's connection ended under a client that waited on it. */
+        CUT,
+        /** A command's last byte has come to a node; detail: key of a write or -, and the proxy. */
+        ARRIVED,
+        /** A node or the register has run it; detail: the value or receipt that it made. */
+        RAN,
+        /** The register has applied a write; detail: its key. */
+        APPLIED,
+        /** Discovery wrote a node's state to a proxy; where: the proxy, id: the node, detail: the state. */
+        TOLD,
+        /** Something was done to a host; detail: what. */
+        FAULT
+    }
+
+    @Override
+    public String toString() {
+        return us + " " + kind + " " + where + " " + id + " " + detail;
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/MetaLines.java
@@ -0,0 +1,85 @@
+package holdproxy.lab;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Lines of the meta protocol (PROTOCOL-pebbletide.md) with the block that belongs to one. Written for
+ * the town
+ * alone: it shares nothing with the proxy's decoder, whose faults it is to show.
+ */
+final class MetaLines extends ByteToMessageDecoder {
+    private static final int LONGEST = 70_000;
+
+    /** A line without its end, and its block, null where it has none. */
+    record Message(String line, String block) {
+        /** The token that begins with this letter, without it; empty where there is none. */
+        String flag(char letter) {
+            for (String token : line.split(" ")) {
+                if (!token.isEmpty() && token.charAt(0) == letter && token.length() > 1) {
+                    return token.substring(1);
+                }
+            }
+            return "";
+        }
+
+        /** A value among those of the flag P; empty where it is missing. */
+        String field(String name) {
+            for (String pair : flag('P').split(",")) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+            return "";
+        }
+
+        String word(int i) {
+            String[] tokens = line.split(" ");
+            return i < tokens.length ? tokens[i] : "";
+        }
+    }
+
+    private String line;
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (line == null) {
+            int end = in.bytesBefore((byte) '\n');
+            if (end < 0) {
+                if (in.readableBytes() > LONGEST) {
+                    throw new IllegalStateException("a line without end");
+                }
+                return;
+            }
+            String read = in.readCharSequence(end, StandardCharsets.ISO_8859_1).toString();
+            in.skipBytes(1);
+            line = read.endsWith("\r") ? read.substring(0, read.length() - 1) : read;
+        }
+        int length = blockLength();
+        if (length < 0) {
+            out.add(new Message(line, null));
+            line = null;
+        } else if (in.readableBytes() >= length + 2) {
+            out.add(new Message(line, in.readCharSequence(length, StandardCharsets.ISO_8859_1).toString()));
+            in.skipBytes(2);
+            line = null;
+        }
+    }
+
+    /** Bytes of the block after the line; -1 for none. */
+    private int blockLength() {
+        String[] tokens = line.split(" ");
+        int at = line.startsWith("VA ") ? 1 : line.startsWith("ms ") ? 2 : -1;
+        if (at < 0 || at >= tokens.length) {
+            return -1;
+        }
+        int length = Integer.parseInt(tokens[at]);
+        if (length < 0 || length > LONGEST) {
+            throw new IllegalStateException("a block of " + length + " bytes");
+        }
+        return length;
+    }
+}
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 
 /** What this proxy is told at its start, checked: anything missing or malformed is a {@link BadInput}. */
-final class Config {
+public final class Config {
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
@@ -29,12 +29,11 @@
     /** The list as last had, in discovery's form. */
     final Map<String, Object> known;
 
-    private Config(Map<String, String> env, boolean again) {
-        name = variable(env, "LB_NAME");
-        listen = address(variable(env, "LB_LISTEN"), "LB_LISTEN");
-        Map<String, Object> json = read(variable(env, "LB_CONFIG"));
-        discovery = again ? address(text(json, "discovery", "the configuration"), "discovery")
-            : address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
+    private Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+            Map<String, Object> json) {
+        this.name = name;
+        this.listen = listen;
+        this.discovery = discovery;
         seed = seed(text(json, "seed", "the configuration"));
         Object limit = object(json, "limits", "the configuration").get("sockets");
         if (!(limit instanceof Number n) || n.intValue() < 128) {
@@ -55,13 +54,36 @@
         kinds = list(raw, "kinds");
     }
 
+    public String name() {
+        return name;
+    }
+
     static Config load(Map<String, String> env) {
-        return new Config(env, false);
+        return read(env, false);
     }
 
     /** The file as it is now; where discovery is stands only there: our variables stay as they were. */
     static Config reload(Map<String, String> env) {
-        return new Config(env, true);
+        return read(env, true);
+    }
+
+    private static Config read(Map<String, String> env, boolean again) {
+        String name = variable(env, "LB_NAME");
+        InetSocketAddress listen = address(variable(env, "LB_LISTEN"), "LB_LISTEN");
+        Map<String, Object> json = read(variable(env, "LB_CONFIG"));
+        InetSocketAddress discovery = again
+            ? address(text(json, "discovery", "the configuration"), "discovery")
+            : address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
+        return new Config(name, listen, discovery, json);
+    }
+
+    /** The configuration that this text holds, as the file of {@code LB_CONFIG} would. */
+    public static Config of(String name, InetSocketAddress listen, InetSocketAddress discovery, String text) {
+        Map<String, Object> json = parse(text);
+        if (json == null) {
+            throw new BadInput("the configuration of " + name + " is not a JSON object");
+        }
+        return new Config(name, listen, discovery, json);
     }
 
     private static String variable(Map<String, String> env, String name) {
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -2,16 +2,12 @@
 
 import holdproxy.input.BadInput;
 import holdproxy.policy.Router;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -54,18 +50,18 @@
     private final Proxy proxy;
     private final Config config;
     private InetSocketAddress address;
-    private final EventLoop loop;
+    private final Transport transport;
     private final Log log;
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, String> names = new HashMap<>();
     private long version;
     private Call watch;
 
-    Discovery(Proxy proxy, Config config, EventLoop loop, Log log) {
+    Discovery(Proxy proxy, Config config, Transport transport, Log log) {
         this.proxy = proxy;
         this.config = config;
         address = config.discovery;
-        this.loop = loop;
+        this.transport = transport;
         this.log = log;
     }
 
@@ -182,28 +178,20 @@
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean stream;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-        private Channel channel;
+        private final Channel channel;
         private boolean over;
 
         Call(String path, boolean stream) {
             this.stream = stream;
-            Call call = this;
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        channel = ch;
-                        ch.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
-                            new HttpClientCodec(), call);
-                    }
-                })
-                .connect(address).addListener((ChannelFutureListener) f -> {
+            ChannelFuture connected = transport.connect(address, CONNECT_MS,
+                new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS), new HttpClientCodec(), this);
+            channel = connected.channel();
+            connected.addListener((ChannelFutureListener) f -> {
                     if (f.isSuccess()) {
                         DefaultFullHttpRequest get =
                             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
                         get.headers().set(HttpHeaderNames.HOST,
-                            NetUtil.toSocketAddressString((InetSocketAddress) f.channel().remoteAddress()));
+                            NetUtil.toSocketAddressString(address));
                         f.channel().writeAndFlush(get);
                     } else {
                         failed("no connection");
@@ -213,9 +201,7 @@
 
         void silently() {
             over = true;
-            if (channel != null) {
-                channel.close();
-            }
+            channel.close();
         }
 
         private void failed(String why) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -3,17 +3,13 @@
 import holdproxy.input.BadInput;
 import holdproxy.policy.Choice;
 import holdproxy.policy.Router;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -26,6 +22,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The proxy on real sockets: turns what happens there into the module's events, and its actions into I/O. One
@@ -49,12 +46,12 @@
     private static final long DRAIN_MOST_MS = 3_600;
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
-    private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
 
     private final Config config;
     private final Time time;
+    private final Transport transport;
     private final Log log;
     private final EventLoop loop;
     private final Command.Names names;
@@ -62,7 +59,8 @@
     private final Discovery discovery;
     private final Router router;
     private final Map<Long, Exchange> table = new HashMap<>();
-    private final Set<ClientSession> sessions = new HashSet<>();
+    /** In the order of their coming, so that a run in virtual time can be played again. */
+    private final Set<ClientSession> sessions = new LinkedHashSet<>();
     /** Idle connections, longest first. */
     private final Set<ClientSession> idle = new LinkedHashSet<>();
     private final int mostSessions;
@@ -79,11 +77,12 @@
     private Channel listener;
     private boolean draining;
 
-    Proxy(Config config, EventLoop loop, Time time, NodePools.Dialer dialer) {
+    Proxy(Config config, EventLoop loop, Time time, Transport transport, Log log) {
         this.config = config;
         this.loop = loop;
         this.time = time;
-        log = new Log(time);
+        this.transport = transport;
+        this.log = log;
         lateness = new Lateness(now());
         int left = config.sockets - OWN_DESCRIPTORS;
         mostSessions = left / 2;
@@ -95,8 +94,8 @@
             names.tenants().put(config.settings.tenants[i].name, i);
         }
         pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING,
-            dialer);
-        discovery = new Discovery(this, config, loop, log);
+            transport);
+        discovery = new Discovery(this, config, transport, log);
         router = new Choice(config.settings, config.seed, now(), this);
     }
 
@@ -117,9 +116,10 @@
     }
 
     static Proxy start(Config config, EventLoop loop) {
+        Time time = Time.system();
         try {
             Proxy proxy = loop.submit(
-                () -> new Proxy(config, loop, Time.system(), NodePools.sockets(config, loop))).get();
+                () -> new Proxy(config, loop, time, new Sockets(loop), new Log(time))).get();
             loop.submit(proxy::begin).get();
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
@@ -138,6 +138,24 @@
         }
     }
 
+    /**
+     * A proxy on this thread's own event loop, listening; whoever runs the loop runs the proxy. {@code
+     * log} takes
+     * its lines.
+     */
+    public static Proxy start(Config config, EventLoop loop, Time time, Transport transport,
+            Consumer<String> log) {
+        Proxy proxy = new Proxy(config, loop, time, transport, new Log(time, log));
+        proxy.begin();
+        proxy.listen();
+        return proxy;
+    }
+
+    /** Requests taken and not yet answered, or answered with an attempt still out. */
+    public int open() {
+        return table.size();
+    }
+
     /** SIGHUP: of the configuration only discovery's address may change; a bad one changes nothing. */
     void reload(Map<String, String> env) {
         try {
@@ -157,17 +175,7 @@
     }
 
     private ChannelFuture listen() {
-        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(handlers());
-                }
-            })
-            .bind(config.listen);
+        ChannelFuture bound = transport.listen(config.listen, this::handlers);
         listener = bound.channel();
         return bound;
     }
--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -3,18 +3,21 @@
 import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * Requests served before the proxy listens, with no socket: a client and a node in memory around a proxy of
  * their own. In a proxy that has served nothing every step is loaded and interpreted; with half a core its
  * first clients would wait until they give up, and the module would take that for a lack of capacity.
  */
-final class Rehearsal {
+final class Rehearsal implements Transport {
     /** Enough for what runs with each request to be compiled, which takes 200 calls and then some time. */
     static final int ROUNDS = 600;
     private static final int ROUNDS_PER_CLIENT = 4;
@@ -31,7 +34,8 @@
 
     private int serve(Config config) {
         // an event loop that nobody runs: the timers set here, that for the node list among them, never fire
-        Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), Time.system(), this::dial);
+        Time time = Time.system();
+        Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), time, this, new Log(time));
         Router.Node node = new Router.Node();
         proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(node, "rehearsal", config.listen)));
         int served = 0;
@@ -53,8 +57,16 @@
         return served;
     }
 
-    private void dial(InetSocketAddress address, NodeConnection c) {
-        nodes.add(new EmbeddedChannel(new Answer.Decoder(), c));
+    @Override
+    public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+        EmbeddedChannel node = new EmbeddedChannel(handlers);
+        nodes.add(node);
+        return node.newSucceededFuture();
+    }
+
+    @Override
+    public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+        throw new UnsupportedOperationException("a rehearsal has no listener");
     }
 
     private static ByteBuf request(Router.Settings settings, int i) {
--- a/src/main/java/holdproxy/net/Time.java
+++ b/src/main/java/holdproxy/net/Time.java
@@ -7,13 +7,13 @@
  * The one place where time enters: the ticker that the event loop's timers go by, and a wall clock that is
  * read once. Handed in, both can be driven by hand.
  */
-final class Time {
+public final class Time {
     private final Ticker ticker;
     private final long originNs;
     private final long unixAtOriginUs;
 
     /** {@code ticker}: the event loop's; {@code unixMs}: the wall clock, in milliseconds since 1970. */
-    Time(Ticker ticker, LongSupplier unixMs) {
+    public Time(Ticker ticker, LongSupplier unixMs) {
         this.ticker = ticker;
         originNs = ticker.nanoTime();
         unixAtOriginUs = unixMs.getAsLong() * 1000;
--- /dev/null
+++ b/src/main/java/holdproxy/net/Transport.java
@@ -0,0 +1,18 @@
+package holdproxy.net;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** Where the proxy's connections come from: sockets in service, channels in memory in rehearsal and lab. */
+public interface Transport {
+    /**
+     * Opens a connection with these handlers, the first next to the wire. The future fails where none is up
+     * within {@code timeoutMs} milliseconds; its channel is there at once.
+     */
+    ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers);
+
+    /** Listens; each connection that comes gets handlers of its own. Closing the future's channel ends it. */
+    ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers);
+}
--- /dev/null
+++ b/src/test/java/holdproxy/lab/AuditorsTest.java
@@ -0,0 +1,147 @@
+package holdproxy.lab;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import holdproxy.net.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Each auditor against a proxy that breaks its rule, by a fault planted between the proxy and its
+ * network.
+ */
+class AuditorsTest {
+    private static final Town.Size SMALL = new Town.Size(2, 6, 60, 20_000);
+
+    /** What a fault does with bytes that the proxy writes; what it returns goes out. */
+    private interface Fault {
+        ByteBuf written(String text, ByteBuf bytes);
+    }
+
+    /** The network with a fault at each client's connection, or at each connection to a node. */
+    private static final class Planted implements Transport {
+        private final Transport network;
+        private final boolean atNodes;
+        private final Fault fault;
+
+        Planted(Transport network, boolean atNodes, Fault fault) {
+            this.network = network;
+            this.atNodes = atNodes;
+            this.fault = fault;
+        }
+
+        private ChannelHandler[] with(ChannelHandler... handlers) {
+            ChannelHandler tap = new ChannelOutboundHandlerAdapter() {
+                @Override
+                public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                    ByteBuf bytes = (ByteBuf) message;
+                    ctx.write(fault.written(bytes.toString(StandardCharsets.ISO_8859_1), bytes), promise);
+                }
+            };
+            return Stream.concat(Stream.of(tap), Stream.of(handlers)).toArray(ChannelHandler[]::new);
+        }
+
+        @Override
+        public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+            boolean node = address.getPort() == 11211;
+            return network.connect(address, timeoutMs, atNodes && node ? with(handlers) : handlers);
+        }
+
+        @Override
+        public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+            return network.listen(address, () -> atNodes ? handlers.get() : with(handlers.get()));
+        }
+    }
+
+    private static List<Event> play(boolean atNodes, Function<Transport, Fault> fault) {
+        Town town = new Town(7, SMALL, network -> new Planted(network, atNodes, fault.apply(network)));
+        town.play(5);
+        return town.record.events();
+    }
+
+    private static Fault nth(int n, Fault fault) {
+        int[] count = new int[1];
+        return (text, bytes) -> ++count[0] % n == 0 ? fault.written(text, bytes) : bytes;
+    }
+
+    /** Sends what a proxy wrote to another node as well. */
+    private static void sendToo(Transport network, int node, ByteBuf bytes, int times) {
+        for (int i = 0; i < times; i++) {
+            ChannelFuture connected = network.connect(new InetSocketAddress("10.2.0." + node, 11211), 1000,
+                new ChannelInboundHandlerAdapter());
+            Channel ch = connected.channel();
+            ByteBuf copy = bytes.copy();
+            connected.addListener(f -> ch.writeAndFlush(copy));
+        }
+    }
+
+    @Test
+    void anAnswerGivenTwiceIsFound() {
+        assertFalse(Auditors.oneAnswer(play(false, n -> nth(50, (text, bytes) ->
+            Unpooled.copiedBuffer(text + text, StandardCharsets.ISO_8859_1)))).isEmpty());
+    }
+
+    @Test
+    void anAnswerDroppedIsFound() {
+        assertFalse(Auditors.oneAnswer(play(false, n -> nth(50, (text, bytes) -> Unpooled.EMPTY_BUFFER)))
+            .isEmpty());
+    }
+
+    @Test
+    void answersSwappedAreFound() {
+        ByteBuf[] held = new ByteBuf[1];
+        assertFalse(Auditors.honestValues(play(false, n -> (text, bytes) -> {
+            ByteBuf out = held[0] == null ? bytes : held[0];
+            held[0] = held[0] == null ? bytes.copy() : null;
+            return out;
+        })).isEmpty());
+    }
+
+    @Test
+    void anEnrolmentSentToTwoNodesIsFound() {
+        assertFalse(Auditors.repeats(play(true, n -> (text, bytes) -> {
+            if (text.contains("c=enrolment")) {
+                sendToo(n, 5, bytes, 1);
+            }
+            return bytes;
+        })).isEmpty());
+    }
+
+    @Test
+    void tooManyAttemptsAreFound() {
+        assertFalse(Auditors.attempts(play(true, n -> nth(50, (text, bytes) -> {
+            sendToo(n, 5, bytes, 3);
+            return bytes;
+        }))).isEmpty());
+    }
+
+    @Test
+    void aSendAfterADrainIsFound() {
+        Town town = new Town(7, SMALL);
+        town.at(1, () -> town.list(4, "DRAINING", 0));
+        town.at(2, () -> sendToo(town.network.of("proxy-0"), 4,
+            Unpooled.copiedBuffer("mg a1 v Off Pc=card-check,d=500\r\n", StandardCharsets.ISO_8859_1), 1));
+        town.play(3);
+        assertFalse(Auditors.drains(town.record.events()).isEmpty());
+    }
+
+    @Test
+    void aRefusalOfAnEnrolmentThatRanIsFound() {
+        assertFalse(Auditors.harmlessRefusals(play(false, n -> (text, bytes) -> text.startsWith("HD ")
+            ? Unpooled.copiedBuffer("SERVER_ERROR busy\r\n", StandardCharsets.ISO_8859_1) : bytes)).isEmpty());
+    }
+}
