--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -10,8 +10,10 @@
 import java.io.IOException;
 import java.util.Arrays;
 
-/** Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire,
- * {@code lab} towns in virtual time. */
+/**
+ * Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire,
+ * {@code lab} towns in virtual time.
+ */
 public final class Main {
     private Main() {
     }
--- a/src/main/java/holdproxy/lab/Auditors.java
+++ b/src/main/java/holdproxy/lab/Auditors.java
@@ -9,8 +9,7 @@
 
 /**
  * The rules (BRIEF and PROTOCOL-pebbletide.md), judged on the town's own record after a run. Each
- * returns what it
- * found broken, in the order of the record; none shares code with the proxy.
+ * returns what it found broken, in the order of the record; none shares code with the proxy.
  */
 final class Auditors {
     /** The figures of the rules; each time limit on sockets is 50 ms longer. */
--- a/src/main/java/holdproxy/lab/CacheNode.java
+++ b/src/main/java/holdproxy/lab/CacheNode.java
@@ -19,10 +19,8 @@
 
 /**
  * A cache node. What runs shares its cores evenly: with n requests running, each gets min(1, cores / n)
- * of a core
- * of the node's speed. Up to {@code slots} run, {@code queue} more wait, and the next is turned away. A
- * started
- * node has {@code coldFrom} of its speed and comes up to all of it over {@code coldUs}.
+ * of a core of the node's speed. Up to {@code slots} run, {@code queue} more wait, and the next is turned
+ * away. A started node has {@code coldFrom} of its speed and comes up to all of it over {@code coldUs}.
  */
 final class CacheNode {
     /**
--- a/src/main/java/holdproxy/lab/MetaLines.java
+++ b/src/main/java/holdproxy/lab/MetaLines.java
@@ -8,8 +8,7 @@
 
 /**
  * Lines of the meta protocol (PROTOCOL-pebbletide.md) with the block that belongs to one. Written for
- * the town
- * alone: it shares nothing with the proxy's decoder, whose faults it is to show.
+ * the town alone: it shares nothing with the proxy's decoder, whose faults it is to show.
  */
 final class MetaLines extends ByteToMessageDecoder {
     private static final int LONGEST = 70_000;
--- a/src/main/java/holdproxy/lab/VirtualLoop.java
+++ b/src/main/java/holdproxy/lab/VirtualLoop.java
@@ -8,8 +8,7 @@
 
 /**
  * The event loop of a town in virtual time: it runs what is due, then time jumps to the next timer. One
- * thread
- * and one order, so that a seed gives the same run each time.
+ * thread and one order, so that a seed gives the same run each time.
  */
 final class VirtualLoop extends ManualIoEventLoop {
     private final MockTicker ticker;
--- a/src/main/java/holdproxy/net/Log.java
+++ b/src/main/java/holdproxy/net/Log.java
@@ -4,8 +4,7 @@
 
 /**
  * Changes and faults, on standard error where nothing else takes them, so many in a while: a storm of
- * faults must
- * not fill a disk.
+ * faults must not fill a disk.
  */
 final class Log {
     private static final int MOST = 40;
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -23,8 +23,7 @@
     private final Map<Integer, NodePool> byId = new HashMap<>();
     private int open;
 
-    NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most,
-            Transport transport) {
+    NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most, Transport transport) {
         this.proxy = proxy;
         this.log = log;
         this.most = most;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -139,9 +139,8 @@
     }
 
     /**
-     * A proxy on this thread's own event loop, listening; whoever runs the loop runs the proxy. {@code
-     * log} takes
-     * its lines.
+     * A proxy on this thread's own event loop, listening; whoever runs the loop runs the proxy.
+     * {@code log} takes its lines.
      */
     public static Proxy start(Config config, EventLoop loop, Time time, Transport transport,
             Consumer<String> log) {
@@ -357,7 +356,7 @@
         settle(x);
         long now = now();
         // while the loop stood still the answer may have lain there: that time says nothing of the node
-        long latencyUs = Math.max(0, now - a.sentUs - (lateness.totalUs(now) - a.stoodStillUs));
+        long latencyUs = Math.max(0, now - a.sentUs - stoodStillUs(a, now));
         event(() -> {
             if (answer != null) {
                 answer.report(report);
@@ -369,13 +368,18 @@
         });
     }
 
+    /** For how long the loop has stood still since an attempt was sent. */
+    private long stoodStillUs(Attempt a, long now) {
+        return lateness.totalUs(now) - a.stoodStillUs;
+    }
+
     /**
      * The wait is over. Where the loop stood still for a good part of it, the module is told of an attempt
      * that was taken back, of which it learns nothing: who spent the time was this proxy and not the node.
      */
     private void timedOut(Attempt a) {
         if (!a.over) {
-            boolean ownFault = lateness.totalUs(now()) - a.stoodStillUs > a.waitUs / OWN_PART;
+            boolean ownFault = stoodStillUs(a, now()) > a.waitUs / OWN_PART;
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
             boolean neverRan = !a.connection.giveUp(a);
             ended(a, neverRan ? ownFault ? Router.Outcome.NOT_SENT : Router.Outcome.CONNECT_FAILED
--- a/src/test/java/holdproxy/net/ConfigTest.java
+++ b/src/test/java/holdproxy/net/ConfigTest.java
@@ -16,10 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/**
- * What the proxy is told at its start, and that anything missing or malformed ends it with one plain
- * line.
- */
+/** What the proxy is told at its start, and that anything missing or malformed ends it with one plain line. */
 class ConfigTest {
     private static final String KNOWN = Fixture.list(41, true);
 
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -15,10 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/**
- * One proxy, scripted clients and cache nodes: answers, their order, and what each kind of failure
- * becomes.
- */
+/** One proxy, scripted clients and cache nodes: answers, their order, and what each kind of failure becomes. */
 @Timeout(60)
 class ServingTest {
 
--- a/src/test/java/holdproxy/policy/BalanceTest.java
+++ b/src/test/java/holdproxy/policy/BalanceTest.java
@@ -10,8 +10,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * The tenants' balance as a whole, in a closed loop: what the module refuses, sends and learns at a
- * steady rate
+ * The tenants' balance as a whole, in a closed loop: what the module refuses, sends and learns at a steady rate
  * of requests and a given way of failing. The properties are those of docs/MECHANISM.md.
  */
 class BalanceTest {
@@ -141,10 +140,7 @@
         assertTrue(refused > 0.2, "a third turned away on all nodes: " + refused);
     }
 
-    /**
-     * Day 4 of the site's score: seven of eight nodes answer three of four, the rest never, with cores
-     * idle.
-     */
+    /** Day 4 of the site's score: seven of eight nodes answer three of four, the rest never, with cores idle. */
     @ParameterizedTest
     @ValueSource(doubles = {10, 100, 1000})
     void silenceWhileOthersAnswerQuicklyDoesNotShutTheDoor(double perSecond) {
--- a/src/test/java/holdproxy/policy/Fixture.java
+++ b/src/test/java/holdproxy/policy/Fixture.java
@@ -3,10 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/**
- * Settings, requests and nodes for the tests, and an {@link Router.Actions} that writes down what it
- * is asked.
- */
+/** Settings, requests and nodes for the tests, and an {@link Router.Actions} that writes down what it is asked. */
 final class Fixture implements Router.Actions {
     static final long MS = 1000;
     static final long S = 1_000_000;
--- a/src/test/java/holdproxy/policy/HostileEventsTest.java
+++ b/src/test/java/holdproxy/policy/HostileEventsTest.java
@@ -10,10 +10,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Legal but hostile sequences, seeded: reordered and late outcomes, nodes that drain, leave and return,
- * lists that
- * fail, clients that leave, restarts, all effect classes. {@link Proxy} plays the caller and asserts the
- * rules that a router
+ * Legal but hostile sequences, seeded: reordered and late outcomes, nodes that drain, leave and return, lists that
+ * fail, clients that leave, restarts, all effect classes. {@link Proxy} plays the caller and asserts the rules that a router
  * can keep alone.
  */
 class HostileEventsTest {
@@ -135,10 +133,7 @@
             }
         }
 
-        /**
-         * Ends what is due in an order of chance, then fires timers; outcomes of concluded requests come
-         * too.
-         */
+        /** Ends what is due in an order of chance, then fires timers; outcomes of concluded requests come too. */
         private void settle(long until) {
             for (int guard = 0; guard < 10_000; guard++) {
                 List<Attempt> due = out.stream().filter(a -> a.endsAt <= until).toList();
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -215,10 +215,7 @@
         assertTrue(out.timers.isEmpty(), "subscribed: nothing more to ask");
     }
 
-    /**
-     * Incidents i82db3d, icf0b68, i15b002: choked nodes heal only when most load is taken off; 22
-     * without.
-     */
+    /** Incidents i82db3d, icf0b68, i15b002: choked nodes heal only when most load is taken off; 22 without. */
     @Test
     void failuresRunningWithoutASuccessBringRefusalsWithinAFewRequestsEvenBelowQuota() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
@@ -252,10 +249,7 @@
         assertTrue(there < 25, "slow each time, so mostly passed over: " + there + " of 200, 50 its due");
     }
 
-    /**
-     * A slow origin: the tenants' buckets must not refuse the hits on top of what the origin's bucket
-     * refuses.
-     */
+    /** A slow origin: the tenants' buckets must not refuse the hits on top of what the origin's bucket refuses. */
     @Test
     void failedFetchesAreBlamedOnTheOriginMoreThanOnTheTenant() {
         int[] refused = new int[2];
@@ -324,10 +318,7 @@
         assertTrue(out.all.stream().noneMatch(a -> a.startsWith("close")), "closed though it was never silent");
     }
 
-    /**
-     * bole-campus big-1: nodes' connection tables held by idle connections, half of all attempts turned
-     * away.
-     */
+    /** bole-campus big-1: nodes' connection tables held by idle connections, half of all attempts turned away. */
     @Test
     void whereNodesTakeNoMoreConnectionsNoneIsHeldIdle() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
@@ -346,10 +337,7 @@
         }
     }
 
-    /**
-     * What fails at nodes that fail more than others must not get a tenant within its quota refused
-     * elsewhere.
-     */
+    /** What fails at nodes that fail more than others must not get a tenant within its quota refused elsewhere. */
     @Test
     void aTenantWithinItsQuotaIsSparedTheBlameForNodesThatFailMoreThanOthers() {
         int[] refused = new int[2];
--- a/src/test/java/holdproxy/policy/RulesTest.java
+++ b/src/test/java/holdproxy/policy/RulesTest.java
@@ -295,10 +295,7 @@
         assertTrue(refused[1] > 20 && refused[1] < refused[0], refused[0] + " reads, " + refused[1] + " writes");
     }
 
-    /**
-     * Found by reading: after an attempt that may have run, a miss elsewhere must not take the group's
-     * bounds off.
-     */
+    /** Found by reading: after an attempt that may have run, a miss elsewhere must not take the group's bounds off. */
     @Test
     void aKeyedReadThatMayHaveRunMissesOnIntoItsGroupOnly() {
         Router.Settings s = Fixture.settings(Router.Effect.KEYED);
--- a/src/test/java/holdproxy/sim/WireTest.java
+++ b/src/test/java/holdproxy/sim/WireTest.java
@@ -197,10 +197,7 @@
         assertTrue(rejected(join(batch(1), batch(2, hex("12 00ffffff 00000003"))), 1).contains("batch 1"));
     }
 
-    /**
-     * A message from a peer and a probe's result with a report: passed on, answered by nothing, extra
-     * bytes skipped.
-     */
+    /** A message from a peer and a probe's result with a report: passed on, answered by nothing, extra bytes skipped. */
     @Test
     void messagesAndProbeResultsAreTaken() throws IOException {
         byte[] memo = hex("16 0000000e 00000003 00000002 0004 68692037");
