--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -25,7 +25,7 @@
             case "simhost" -> simhost();
             case "lab" -> System.exit(LabCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             default -> {
-                System.err.println("usage: java -jar holdproxy.jar serve | simhost | lab run|hunt|shrink|compare");
+                System.err.println("usage: java -jar holdproxy.jar serve | simhost | lab (see lab --help)");
                 System.exit(2);
             }
         }
--- a/src/main/java/holdproxy/lab/Auditors.java
+++ b/src/main/java/holdproxy/lab/Auditors.java
@@ -105,11 +105,12 @@
             if (e.kind() == Event.Kind.RAN) {
                 made.computeIfAbsent(e.id(), id -> new HashSet<>()).add(e.detail());
             } else if (e.kind() == Event.Kind.ANSWERED && !e.id().isEmpty()) {
-                String[] words = e.detail().split(" ");
-                boolean value = words[0].equals("VA");
-                if (value || words[0].equals("HD")) {
-                    String served = value ? words[words.length - 1] : words[words.length - 1].substring(1);
-                    boolean names = List.of(words).contains("O" + e.id());
+                String answer = e.detail();
+                boolean value = answer.startsWith("VA ");
+                if (value || answer.startsWith("HD ")) {
+                    // a receipt has its flag's letter before it
+                    String served = answer.substring(answer.lastIndexOf(' ') + (value ? 1 : 2));
+                    boolean names = answer.contains(" O" + e.id() + " ");
                     if (!names || !made.getOrDefault(e.id(), Set.of()).contains(served)) {
                         found.add("served with what no node made for it: " + e);
                     }
@@ -139,7 +140,7 @@
         Set<String> applied = new HashSet<>();
         for (Event e : events) {
             switch (e.kind()) {
-                case ASKED -> classOf.put(e.id(), e.detail().split(" ")[0]);
+                case ASKED -> classOf.put(e.id(), e.word(0));
                 case ARRIVED -> {
                     long first = firstAt.getOrDefault(e.id(), e.us());
                     firstAt.put(e.id(), first);
@@ -175,7 +176,7 @@
             } else if (over(e)) {
                 toldAt.remove(e.where()); // its next life knows what it is told then
             } else if (e.kind() == Event.Kind.ARRIVED) {
-                Long told = toldAt.getOrDefault(e.detail().split(" ")[1], Map.of()).get(e.where());
+                Long told = toldAt.getOrDefault(e.word(1), Map.of()).get(e.where());
                 if (told != null && e.us() - told > DRAIN_US) {
                     found.add("sent " + (e.us() - told) / 1000 + " ms after the proxy was told: " + e);
                 }
@@ -234,6 +235,10 @@
             coldUs = Long.parseLong(figures[2]);
         }
 
+        boolean warmAt(long us) {
+            return from == warm || us - upUs >= coldUs;
+        }
+
         /** Whether with this more its budget is spent, by proxies that knew of its start above all. */
         boolean over(long us, double workUs, boolean known) {
             window.add(new Work(us, workUs, known));
@@ -244,8 +249,8 @@
                 allUs -= past.workUs;
                 knownUs -= past.known ? past.workUs : 0;
             }
-            double now = from + (warm - from) * Math.min(1, (double) (us - upUs) / coldUs);
-            return now < warm && allUs > TIP * now * TIP_US && knownUs > TIP_KNOWN * allUs;
+            double now = from + (warm - from) * (us - upUs) / coldUs;
+            return allUs > TIP * now * TIP_US && knownUs > TIP_KNOWN * allUs;
         }
     }
 
@@ -261,10 +266,12 @@
             } else if (e.kind() == Event.Kind.TOLD && e.detail().startsWith("SERVING")) {
                 knowing.getOrDefault(e.id(), new HashSet<>()).add(e.where());
             } else if (e.kind() == Event.Kind.ARRIVED) {
-                String[] words = e.detail().split(" ");
                 Started node = started.get(e.where());
-                boolean known = knowing.get(e.where()).contains(words[1]);
-                if (!node.found && node.over(e.us(), Double.parseDouble(words[2]), known)) {
+                if (node.warmAt(e.us())) {
+                    continue;
+                }
+                boolean known = knowing.get(e.where()).contains(e.word(1));
+                if (!node.found && node.over(e.us(), Double.parseDouble(e.word(2)), known)) {
                     node.found = true;
                     found.add("a cold node is sent too much: " + e);
                 }
--- a/src/main/java/holdproxy/lab/Event.java
+++ b/src/main/java/holdproxy/lab/Event.java
@@ -37,6 +37,16 @@
         FAULT
     }
 
+    /** A word of the detail, the first being 0; without splitting all of it, for auditors read millions. */
+    String word(int i) {
+        int from = 0;
+        for (int left = i; left > 0; left--) {
+            from = detail.indexOf(' ', from) + 1;
+        }
+        int end = detail.indexOf(' ', from);
+        return end < 0 ? detail.substring(from) : detail.substring(from, end);
+    }
+
     @Override
     public String toString() {
         return us + " " + kind + " " + where + " " + id + " " + detail;
--- a/src/main/java/holdproxy/lab/MetaLines.java
+++ b/src/main/java/holdproxy/lab/MetaLines.java
@@ -14,10 +14,28 @@
     private static final int LONGEST = 70_000;
 
     /** A line without its end, and its block, null where it has none. */
-    record Message(String line, String block) {
+    static final class Message {
+        private final String line;
+        private final String block;
+        private final String[] tokens;
+
+        Message(String line, String block) {
+            this.line = line;
+            this.block = block;
+            tokens = line.split(" ");
+        }
+
+        String line() {
+            return line;
+        }
+
+        String block() {
+            return block;
+        }
+
         /** The token that begins with this letter, without it; empty where there is none. */
         String flag(char letter) {
-            for (String token : line.split(" ")) {
+            for (String token : tokens) {
                 if (!token.isEmpty() && token.charAt(0) == letter && token.length() > 1) {
                     return token.substring(1);
                 }
@@ -36,7 +54,6 @@
         }
 
         String word(int i) {
-            String[] tokens = line.split(" ");
             return i < tokens.length ? tokens[i] : "";
         }
     }
