Clear the lab of state that can be derived, dead counters and copied steps

Cause: read once more, the lab's second piece kept a set of cut nodes beside their hosts' own flag, node kinds beside the nodes, counts that nobody reads (TownRecord.count and served, Second.inTime), three copies of the same "try again unless it must not run twice", scenario copies by hand in Shrinker, and it computed a comparison's figures once a line. Change: each of them in one place (Scenario.withTown and its kin, MetaLines.served, Want.mayHaveRun, Kind.name). Nothing that serve loads has changed.

--- a/src/main/java/holdproxy/lab/CacheNode.java
+++ b/src/main/java/holdproxy/lab/CacheNode.java
@@ -27,6 +27,7 @@
     /**
      * What a node is made of.
      *
+     * @param name as in the settings
      * @param cores cores
      * @param speed of a core, 1 being standard
      * @param slots requests that run at once
@@ -39,8 +40,8 @@
      * @param connections that it takes; on more it says busy
      * @param handshakeUs work of a new connection on a standard core, before its first request's
      */
-    record Kind(int cores, double speed, int slots, int queue, double workUs, double coldFrom, long coldUs,
-            int keys, long ttlUs, int connections, double handshakeUs) {
+    record Kind(String name, int cores, double speed, int slots, int queue, double workUs, double coldFrom,
+            long coldUs, int keys, long ttlUs, int connections, double handshakeUs) {
     }
 
     /** A command and the connection that is due its answer. */
@@ -68,7 +69,7 @@
 
     final String name;
     final InetSocketAddress address;
-    private final Kind kind;
+    final Kind kind;
     private final VirtualLoop loop;
     private final MemoryNetwork.Process process;
     private final TownRecord record;
--- a/src/main/java/holdproxy/lab/Clients.java
+++ b/src/main/java/holdproxy/lab/Clients.java
@@ -32,7 +32,6 @@
     private static final double MOST_WAIT = 0.8;
     private static final double LEAST_PAUSE_MS = 20;
     private static final double MOST_PAUSE_MS = 160;
-    private static final String BUSY = "SERVER_ERROR busy";
 
     private final VirtualLoop loop;
     private final Transport network;
@@ -250,16 +249,21 @@
 
         private void answered(String line) {
             taken.remove(id());
-            if (line.startsWith(BUSY)) {
-                String advice = line.substring(BUSY.length()).strip();
+            if (line.startsWith(MetaLines.BUSY)) {
+                String advice = line.substring(MetaLines.BUSY.length()).strip();
                 again(advice.isEmpty() ? 0 : Long.parseLong(advice));
-            } else if (!line.startsWith("VA ") && !line.startsWith("HD ") && !type.onceOnly()) {
-                again(0);
+            } else if (!MetaLines.served(line)) {
+                mayHaveRun();
             }
         }
 
         private void givenUp() {
             taken.remove(id());
+            mayHaveRun();
+        }
+
+        /** Without an answer that says otherwise, what must not run twice is not asked again. */
+        private void mayHaveRun() {
             if (!type.onceOnly()) {
                 again(0);
             }
@@ -270,8 +274,8 @@
             if (unread && !crossed) {
                 crossed = true; // the proxy closed while this was on its way: the same again, once
                 send();
-            } else if (!type.onceOnly()) {
-                again(0);
+            } else {
+                mayHaveRun();
             }
         }
     }
--- a/src/main/java/holdproxy/lab/LabCommand.java
+++ b/src/main/java/holdproxy/lab/LabCommand.java
@@ -253,20 +253,19 @@
             }
             List<Play> plays = playAll(scenarios, p -> true);
             System.out.printf("%-28s %8s %8s %8s   %8s %8s %8s%n", seeds + " seeds", "A mean", "least",
-                "most",
-                "B mean", "least", "most");
-            for (String figure : plays.get(0).service().figures().keySet()) {
-                System.out.printf("%-28s %s   %s%n", figure, spread(plays.subList(0, seeds), figure),
-                    spread(plays.subList(seeds, 2 * seeds), figure));
+                "most", "B mean", "least", "most");
+            List<Map<String, Object>> figures = plays.stream().map(p -> p.service().figures()).toList();
+            for (String figure : figures.get(0).keySet()) {
+                System.out.printf("%-28s %s   %s%n", figure, spread(figures.subList(0, seeds), figure),
+                    spread(figures.subList(seeds, 2 * seeds), figure));
             }
             int broken = plays.stream().mapToInt(p -> p.broken().size()).sum();
             System.out.println(broken == 0 ? "all rules kept" : broken + " times a rule was broken");
             return broken == 0 ? 0 : 1;
         }
 
-        private static String spread(List<Play> plays, String figure) {
-            double[] values = plays.stream()
-                .mapToDouble(p -> ((Number) p.service().figures().get(figure)).doubleValue())
+        private static String spread(List<Map<String, Object>> plays, String figure) {
+            double[] values = plays.stream().mapToDouble(p -> ((Number) p.get(figure)).doubleValue())
                 .sorted().toArray();
             double mean = Arrays.stream(values).average().orElse(0);
             return String.format(Locale.ROOT, "%8.3f %8.3f %8.3f", mean, values[0],
--- a/src/main/java/holdproxy/lab/MetaLines.java
+++ b/src/main/java/holdproxy/lab/MetaLines.java
@@ -11,8 +11,15 @@
  * the town alone: it shares nothing with the proxy's decoder, whose faults it is to show.
  */
 final class MetaLines extends ByteToMessageDecoder {
+    /** How a refusal begins. */
+    static final String BUSY = "SERVER_ERROR busy";
     private static final int LONGEST = 70_000;
 
+    /** Whether an answer that begins so has a value or a receipt. */
+    static boolean served(String answer) {
+        return answer.startsWith("VA ") || answer.startsWith("HD ");
+    }
+
     /** A line without its end, and its block, null where it has none. */
     static final class Message {
         private final String line;
--- a/src/main/java/holdproxy/lab/Scenario.java
+++ b/src/main/java/holdproxy/lab/Scenario.java
@@ -65,6 +65,22 @@
         return new Scenario(name, seed, seconds, town, load, others);
     }
 
+    Scenario withSeconds(double other) {
+        return new Scenario(name, seed, other, town, load, faults);
+    }
+
+    /** The same town with so many proxies and nodes. */
+    Scenario withTown(int proxies, int nodes) {
+        return new Scenario(name, seed, seconds, new Size(proxies, nodes, town.slots, town.queue, town.memory,
+            town.ttlS, town.connections, town.handshakeMs, town.coldFrom, town.coldS, town.originMs,
+            town.originSlots), load, faults);
+    }
+
+    Scenario withRate(double perS) {
+        return new Scenario(name, seed, seconds, town, new Load(perS, load.workMs, load.keys, load.zipf,
+            load.retries, load.clubs), faults);
+    }
+
     /** A small town of which a seed draws all: sizes, load, and faults that may overlap. */
     static Scenario drawn(long seed, double seconds) {
         SplittableRandom random = new SplittableRandom(seed);
--- a/src/main/java/holdproxy/lab/ScenarioFile.java
+++ b/src/main/java/holdproxy/lab/ScenarioFile.java
@@ -5,7 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.EnumSet;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -65,12 +65,12 @@
         Scenario.Size size = new Scenario.Size(p.whole("proxies", d.proxies(), 1, 200),
             p.whole("nodes", d.nodes(), 1, 1000), p.whole("slots", d.slots(), 1, 1000),
             p.whole("queue", d.queue(), 0, 10_000), p.whole("memory_keys", d.memory(), 1, 1_000_000),
-            p.number("ttl_s", d.ttlS(), 0.001, LONGEST_S), p.whole("connections", d.connections(), 1,
-                100_000),
+            p.number("ttl_s", d.ttlS(), 0.001, LONGEST_S),
+            p.whole("connections", d.connections(), 1, 100_000),
             p.number("handshake_ms", d.handshakeMs(), 0, 1000),
             p.number("cold_from", d.coldFrom(), 0.01, 1), p.number("cold_s", d.coldS(), 0.001, LONGEST_S),
-            p.number("origin_ms", d.originMs(), 0.1, 10_000), p.whole("origin_slots", d.originSlots(), 1,
-                100_000));
+            p.number("origin_ms", d.originMs(), 0.1, 10_000),
+            p.whole("origin_slots", d.originSlots(), 1, 100_000));
         p.done();
         return size;
     }
@@ -106,7 +106,7 @@
         }
         if (kind == null) {
             throw p.bad(p.at("kind"), "kind is not one of " + String.join(", ",
-                EnumSet.allOf(Fault.Kind.class).stream().map(Fault.Kind::word).toList()));
+                Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList()));
         }
         Set<Fault.Figure> has = kind.figures;
         double atS = p.needed("at_s", 0, seconds);
--- a/src/main/java/holdproxy/lab/Service.java
+++ b/src/main/java/holdproxy/lab/Service.java
@@ -13,7 +13,6 @@
     /** What came to be in one second of the town; a want counts in the second in which it began. */
     static final class Second {
         long wanted;
-        long inTime;
         double worthWanted;
         double worthInTime;
         long refused;
@@ -67,24 +66,23 @@
     }
 
     private void answered(Event e, Second second, Map<String, Want> open) {
-        boolean refused = e.detail().startsWith("SERVER_ERROR busy");
         if (e.id().isEmpty()) {
             return;
-        } else if (!e.detail().startsWith("VA ") && !e.detail().startsWith("HD ")) {
-            second.refused += refused ? 1 : 0;
-            second.failed += refused ? 0 : 1;
-            all.refused += refused ? 1 : 0;
-            all.failed += refused ? 0 : 1;
+        } else if (!MetaLines.served(e.detail())) {
+            boolean refused = e.detail().startsWith(MetaLines.BUSY);
+            for (Second s : List.of(all, second)) {
+                s.refused += refused ? 1 : 0;
+                s.failed += refused ? 0 : 1;
+            }
             return;
         }
-        Want want = open.remove(e.id().substring(0,
-            e.id().length() - 1)); // the try's number is the last digit
+        // the try's number is the last digit
+        Want want = open.remove(e.id().substring(0, e.id().length() - 1));
         if (want != null) {
             long tookMs = (e.us() - want.us) / 1000;
             servedMs.recordValue(Math.min(tookMs, LONGEST_MS));
             if (tookMs <= want.type.aimMs()) {
                 for (Second s : List.of(all, want.second, want.byClass)) {
-                    s.inTime++;
                     s.worthInTime += want.type.worth();
                 }
             }
--- a/src/main/java/holdproxy/lab/Shrinker.java
+++ b/src/main/java/holdproxy/lab/Shrinker.java
@@ -45,40 +45,28 @@
     }
 
     private boolean shorter() {
-        Scenario s = least;
-        double halfS = s.seconds() / 2;
-        return halfS >= 1 && s.faults().stream().allMatch(f -> f.atS() <= halfS)
-            && take(new Scenario(s.name(), s.seed(), halfS, s.town(), s.load(), s.faults()));
+        double halfS = least.seconds() / 2;
+        return halfS >= 1 && least.faults().stream().allMatch(f -> f.atS() <= halfS)
+            && take(least.withSeconds(halfS));
     }
 
     private boolean fewerNodes() {
-        Scenario.Size t = least.town();
-        int fewer = t.nodes() / 2;
-        return fewer >= 1 && least.faults().stream().allMatch(f -> f.target() < fewer)
-            && take(with(least, size(t, t.proxies(), fewer)));
+        int fewer = least.town().nodes() / 2;
+        return leavesTargets(fewer) && take(least.withTown(least.town().proxies(), fewer));
     }
 
     private boolean fewerProxies() {
-        Scenario.Size t = least.town();
-        int fewer = t.proxies() / 2;
-        return fewer >= 1 && least.faults().stream().allMatch(f -> f.target() < fewer)
-            && take(with(least, size(t, fewer, t.nodes())));
+        int fewer = least.town().proxies() / 2;
+        return leavesTargets(fewer) && take(least.withTown(fewer, least.town().nodes()));
     }
 
-    private static Scenario.Size size(Scenario.Size t, int proxies, int nodes) {
-        return new Scenario.Size(proxies, nodes, t.slots(), t.queue(), t.memory(), t.ttlS(), t.connections(),
-            t.handshakeMs(), t.coldFrom(), t.coldS(), t.originMs(), t.originSlots());
-    }
-
-    private static Scenario with(Scenario s, Scenario.Size town) {
-        return new Scenario(s.name(), s.seed(), s.seconds(), town, s.load(), s.faults());
+    /** Whether with so many every fault still has its node or proxy. */
+    private boolean leavesTargets(int fewer) {
+        return fewer >= 1 && least.faults().stream().allMatch(f -> f.target() < fewer);
     }
 
     private boolean lessLoad() {
-        Scenario s = least;
-        Scenario.Load l = s.load();
-        return l.ratePerS() > 2 && take(new Scenario(s.name(), s.seed(), s.seconds(), s.town(),
-            new Scenario.Load(
-            l.ratePerS() / 2, l.workMs(), l.keys(), l.zipf(), l.retries(), l.clubs()), s.faults()));
+        double perS = least.load().ratePerS();
+        return perS > 2 && take(least.withRate(perS / 2));
     }
 }
--- a/src/main/java/holdproxy/lab/Town.java
+++ b/src/main/java/holdproxy/lab/Town.java
@@ -8,10 +8,8 @@
 import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
@@ -28,7 +26,7 @@
     private static final long CALL_US = 30_000;
     /** After the last request, until the last of its tries is over. */
     private static final double LAST_TRIES_S = 12;
-    private static final double REPEATS_DROPPED_US = 2_500_000;
+    private static final long REPEATS_DROPPED_US = 2_500_000;
     /** Share of nodes of the fast kind; what a core of either does, in standard cores. */
     private static final double FAST_SHARE = 0.4;
     private static final double[] FAST = {1.3, 1.7};
@@ -64,9 +62,7 @@
     private final Scenario scenario;
     private final MemberRegister register;
     private final Map<CacheNode, MemoryNetwork.Host> hosts = new HashMap<>();
-    private final Map<CacheNode, String> kinds = new HashMap<>();
     private final Map<CacheNode, String> listed = new HashMap<>();
-    private final Set<CacheNode> cut = new HashSet<>();
     private double cores;
     private int made;
 
@@ -80,7 +76,7 @@
         Scenario.Size size = scenario.town();
         Scenario.Load load = scenario.load();
         register = new MemberRegister(loop, record, size.originSlots(), (long) (size.originMs() * 1000),
-            (long) REPEATS_DROPPED_US);
+            REPEATS_DROPPED_US);
         InetSocketAddress registry = address(1, 0, 8500);
         network.host(registry, 300, 100, stream("discovery", 0));
         discovery.start(network.process("discovery", loop), registry);
@@ -111,8 +107,7 @@
         network.host(address, 800, 200, stream("proxy network", i));
         String name = "proxy-" + i;
         String settings = SETTINGS.formatted(i, size.proxies(), grades(), size.coldFrom(),
-            size.coldS() * 1000,
-            clubs);
+            size.coldS() * 1000, clubs);
         SplittableRandom seeds = stream("proxy", i);
         return new ProxyProcess(name, front.door(address), time, loop, network, record, front,
             () -> Config.of(name, address, registry, "{\"name\":\"" + name + "\",\"seed\":\""
@@ -137,8 +132,9 @@
         boolean fast = random.nextDouble() < FAST_SHARE;
         double[] speeds = fast ? FAST : STANDARD;
         Scenario.Size size = scenario.town();
-        CacheNode.Kind kind = new CacheNode.Kind(1, random.nextDouble(speeds[0], speeds[1]), size.slots(),
-            size.queue(), scenario.load().workMs() * 1000, size.coldFrom(), (long) (size.coldS() * 1e6),
+        CacheNode.Kind kind = new CacheNode.Kind(fast ? "fast-1c" : "std-1c", 1,
+            random.nextDouble(speeds[0], speeds[1]), size.slots(), size.queue(),
+            scenario.load().workMs() * 1000, size.coldFrom(), (long) (size.coldS() * 1e6),
             size.memory(), (long) (size.ttlS() * 1e6), size.connections(), size.handshakeMs() * 1000);
         cores += kind.speed() * kind.cores();
         String name = "s-" + number;
@@ -147,7 +143,6 @@
         CacheNode node = new CacheNode(name, address, kind, loop, network.process(name, loop), record,
             register, stream("node", number));
         hosts.put(node, host);
-        kinds.put(node, fast ? "fast-1c" : "std-1c");
         return node;
     }
 
@@ -165,12 +160,13 @@
 
     /** Discovery looks at a node and tells what it sees, if it is something new. */
     void relist(CacheNode node) {
-        String state = !node.up() || cut.contains(node) ? "DELETED" : node.drains() ? "DRAINING" : "SERVING";
+        boolean gone = !node.up() || hosts.get(node).silent;
+        String state = gone ? "DELETED" : node.drains() ? "DRAINING" : "SERVING";
         long startedMs = node.startedUs() == 0 ? 0 : UNIX_MS + node.startedUs() / 1000;
         String seen = state + (state.equals("SERVING") ? startedMs : "");
         if (!seen.equals(listed.getOrDefault(node, "DELETED"))) {
             listed.put(node, seen);
-            discovery.set(node.name, node.address, "room-north", kinds.get(node), state, startedMs);
+            discovery.set(node.name, node.address, "room-north", node.kind.name(), state, startedMs);
         }
     }
 
@@ -178,11 +174,6 @@
     void cut(CacheNode node, boolean off) {
         record.add(loop.nowUs(), Event.Kind.FAULT, node.name, "", off ? "silent" : "back");
         hosts.get(node).silent = off;
-        if (off) {
-            cut.add(node);
-        } else {
-            cut.remove(node);
-        }
     }
 
     /** From now on each message's connection at a node's host is reset with this chance. */
--- a/src/main/java/holdproxy/lab/TownRecord.java
+++ b/src/main/java/holdproxy/lab/TownRecord.java
@@ -20,16 +20,6 @@
         return Collections.unmodifiableList(events);
     }
 
-    /** How many there are of a kind whose detail begins like this. */
-    long count(Event.Kind kind, String begins) {
-        return events.stream().filter(e -> e.kind() == kind && e.detail().startsWith(begins)).count();
-    }
-
-    /** Requests that were served. */
-    long served() {
-        return count(Event.Kind.ANSWERED, "VA ") + count(Event.Kind.ANSWERED, "HD ");
-    }
-
     /** The same for two runs that went the same way, event by event. */
     String hash() {
         try {
--- a/src/test/java/holdproxy/lab/AuditorsTest.java
+++ b/src/test/java/holdproxy/lab/AuditorsTest.java
@@ -74,11 +74,7 @@
     }
 
     private static List<Event> play(boolean atNodes, Function<Transport, Plant> fault) {
-        return play(SMALL, atNodes, fault);
-    }
-
-    private static List<Event> play(Scenario scenario, boolean atNodes, Function<Transport, Plant> fault) {
-        try (Town town = new Town(scenario, n -> new Planted(n, atNodes, fault.apply(n)))) {
+        try (Town town = new Town(SMALL, n -> new Planted(n, atNodes, fault.apply(n)))) {
             town.play();
             return town.record.events();
         }
