--- a/src/main/java/holdproxy/lab/Event.java
+++ b/src/main/java/holdproxy/lab/Event.java
@@ -11,20 +11,26 @@
  */
 record Event(long us, Kind kind, String where, String id, String detail) {
     enum Kind {
+        /** Somebody wants something; where: the club, id: what its tries' ids begin with, detail: class. */
+        WANTED,
         /** A client wrote a request's last byte; detail: class, key of a write or -, and wait in ms. */
         ASKED,
+        /** The request has come to the proxy and was read by it. */
+        TAKEN,
         /** A client has read an answer; detail: its first line, and the value. */
         ANSWERED,
         /** A client gave a request up and closed its connection. */
         LEFT,
         /** A proxy's connection ended under a client that waited on it. */
         CUT,
-        /** A command's last byte has come to a node; detail: key of a write or -, and the proxy. */
+        /** A command's last byte has come to a node; detail: key of a write or -, proxy, and work in us. */
         ARRIVED,
         /** A node or the register has run it; detail: the value or receipt that it made. */
         RAN,
         /** The register has applied a write; detail: its key. */
         APPLIED,
+        /** A node is up; detail: speed at first and when warm, in standard cores, and us in between. */
+        UP,
         /** Discovery wrote a node's state to a proxy; where: the proxy, id: the node, detail: the state. */
         TOLD,
         /** Something was done to a host; detail: what. */
--- a/src/main/java/holdproxy/lab/Link.java
+++ b/src/main/java/holdproxy/lab/Link.java
@@ -1,18 +1,22 @@
 package holdproxy.lab;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
 
 /**
  * The network on one connection, at the end that accepted it: every message comes later by the
  * delay of the host, in order; so does the end that this side brings about. Of a silent host nothing
- * comes and nothing goes, and nobody is told.
+ * comes and nothing goes, and nobody is told. A host whose connections are reset loses a message whole or
+ * in part with its connection, or has it and loses the connection then.
  */
 final class Link extends ChannelDuplexHandler {
     private final VirtualLoop loop;
     private final MemoryNetwork.Host host;
+    private final ArrayDeque<Object> here = new ArrayDeque<>();
     private long inDueUs;
     private long outDueUs;
     private boolean closing;
@@ -42,16 +46,47 @@
         loop.after(inDueUs - loop.nowUs(), () -> {
             if (host.silent || closing) {
                 ReferenceCountUtil.release(message);
+            } else if (host.resets()) {
+                reset(ctx, (ByteBuf) message);
             } else {
-                ctx.fireChannelRead(message);
+                here.add(message);
+                handOver(ctx);
             }
         });
     }
 
+    /** What has come lies here, as in a kernel's buffer, for as long as nobody reads. */
+    private void handOver(ChannelHandlerContext ctx) {
+        while (!here.isEmpty() && ctx.channel().config().isAutoRead()) {
+            ctx.fireChannelRead(here.poll());
+        }
+    }
+
+    @Override
+    public void read(ChannelHandlerContext ctx) {
+        handOver(ctx);
+        ctx.read();
+    }
+
+    private void reset(ChannelHandlerContext ctx, ByteBuf message) {
+        switch (host.pick(3)) {
+            case 0 -> message.release();
+            case 1 -> {
+                ctx.fireChannelRead(message.readRetainedSlice(message.readableBytes() / 2));
+                message.release();
+            }
+            default -> ctx.fireChannelRead(message);
+        }
+        closing = true;
+        ctx.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         // at once: later the channel's handlers would be gone; what was on its way is lost
         closing = true;
+        here.forEach(ReferenceCountUtil::release);
+        here.clear();
         ctx.fireChannelInactive();
     }
 
@@ -61,7 +96,23 @@
             ReferenceCountUtil.release(message);
             return; // neither done nor failed: so it is with a machine that is cut off
         }
-        out(() -> ctx.writeAndFlush(message, promise));
+        ByteBuf bytes = (ByteBuf) message;
+        if (!bytes.isReadable()) {
+            // nothing to send: it is done once what is before it has gone
+            bytes.release();
+            loop.after(outDueUs - loop.nowUs(), promise::trySuccess);
+            return;
+        }
+        out(() -> {
+            if (host.resets()) {
+                closing = true;
+                ctx.writeAndFlush(bytes.readRetainedSlice(bytes.readableBytes() / 2));
+                bytes.release();
+                ctx.close(promise);
+            } else {
+                ctx.writeAndFlush(message, promise);
+            }
+        });
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/holdproxy/lab/ProxyProcess.java
@@ -0,0 +1,148 @@
+package holdproxy.lab;
+
+import holdproxy.net.Config;
+import holdproxy.net.Proxy;
+import holdproxy.net.Time;
+import holdproxy.net.Transport;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+
+/**
+ * A proxy's process in a town: each life of it runs on an event loop of its own, so that it can stand still,
+ * be told to end, or die at any moment, and come back with nothing but its configuration.
+ */
+final class ProxyProcess {
+    /** Until when the platform lets a process end after SIGTERM: the longest deadline plus 0.7 s. */
+    private static final long KILLED_AFTER_US = 3_700_000;
+    /** New connections still come for so long after SIGTERM. */
+    private static final long FRONT_TOLD_US = 300_000;
+
+    final String name;
+    private final int door;
+    private final VirtualTime time;
+    private final VirtualLoop world;
+    private final MemoryNetwork network;
+    private final TownRecord record;
+    private final Front front;
+    private final Supplier<Config> config;
+    private final UnaryOperator<Transport> planted;
+    private final Consumer<String> log;
+    private final Function<VirtualTime, Time> clock;
+    private VirtualLoop loop;
+    private MemoryNetwork.Process process;
+    private Proxy proxy;
+    private int life;
+
+    /**
+     * {@code door}: its number at the front; {@code config}: what each life reads at its start;
+     * {@code planted} stands between it and its network.
+     */
+    ProxyProcess(String name, int door, VirtualTime time, VirtualLoop world, MemoryNetwork network,
+            TownRecord record, Front front, Supplier<Config> config, Function<VirtualTime, Time> clock,
+            UnaryOperator<Transport> planted, Consumer<String> log) {
+        this.name = name;
+        this.door = door;
+        this.time = time;
+        this.world = world;
+        this.network = network;
+        this.record = record;
+        this.front = front;
+        this.config = config;
+        this.clock = clock;
+        this.planted = planted;
+        this.log = log;
+    }
+
+    /** Requests open in it; 0 while it does not run. */
+    int open() {
+        return proxy == null ? 0 : proxy.open();
+    }
+
+    boolean runs() {
+        return loop != null;
+    }
+
+    void start() {
+        if (runs()) {
+            return;
+        }
+        life++;
+        loop = time.loop(false);
+        process = network.process(name, loop);
+        Transport transport = planted.apply(process);
+        loop.execute(() -> {
+            proxy = Proxy.start(config.get(), loop, clock.apply(time), transport,
+                line -> log.accept(time.nowUs() + " " + name + " " + line));
+            record.add(time.nowUs(), Event.Kind.FAULT, name, "", "started");
+            world.execute(() -> front.use(door, true));
+        });
+    }
+
+    /** SIGTERM; it is started again so long after its end, in microseconds. */
+    void restart(long downUs) {
+        if (!runs() || proxy == null) {
+            return;
+        }
+        record.add(time.nowUs(), Event.Kind.FAULT, name, "", "told to end");
+        int ending = life;
+        loop.execute(() -> proxy.end().addListener(f -> world.execute(() -> ended(ending, downUs))));
+        world.after(FRONT_TOLD_US, () -> {
+            if (life == ending) {
+                front.use(door, false);
+            }
+        });
+        world.after(KILLED_AFTER_US, () -> ended(ending, downUs));
+    }
+
+    private void ended(int ending, long downUs) {
+        if (life == ending && runs()) {
+            over("ended");
+            front.use(door, false);
+            world.after(downUs, this::start);
+        }
+    }
+
+    /** It dies; the front sends on to it for a time, and it is started again after another. */
+    void kill(long noticedUs, long downUs) {
+        if (!runs()) {
+            return;
+        }
+        over("killed");
+        int killed = life;
+        world.after(noticedUs, () -> {
+            if (life == killed) {
+                front.use(door, false);
+            }
+        });
+        world.after(downUs, () -> {
+            if (life == killed) {
+                start();
+            }
+        });
+    }
+
+    private void over(String how) {
+        record.add(time.nowUs(), Event.Kind.FAULT, name, "", how);
+        loop.end(process::die);
+        loop = null;
+        proxy = null;
+    }
+
+    /** Nothing of it runs for so long. */
+    void hold(long us) {
+        if (runs()) {
+            record.add(time.nowUs(), Event.Kind.FAULT, name, "", "held " + us);
+            loop.hold(us);
+        }
+    }
+
+    /** The town is over: so is it, unrecorded. */
+    void close() {
+        if (runs()) {
+            loop.end(process::die);
+            loop = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/Scenario.java
@@ -0,0 +1,108 @@
+package holdproxy.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * What is played: a town, its load, and what goes wrong.
+ *
+ * @param name for the report
+ * @param seed of all chance
+ * @param seconds for which clients ask
+ * @param town how large it is
+ * @param load what is asked
+ * @param faults in any order
+ */
+record Scenario(String name, long seed, double seconds, Size town, Load load, List<Fault> faults) {
+    /**
+     * How large a town is.
+     *
+     * @param proxies proxies, 1 to 200
+     * @param nodes cache nodes, 1 to 1000
+     * @param slots requests that a node runs at once
+     * @param queue requests that wait at a node
+     * @param memory keys that a node holds
+     * @param ttlS seconds for which it holds one
+     * @param connections that a node takes; on more it says busy
+     * @param handshakeMs work that a new connection costs a node, and its first request time
+     * @param coldFrom part of its speed that a node has at its start
+     * @param coldS seconds until it has all of it
+     * @param originMs what the register takes for one
+     * @param originSlots how many it works on at once
+     */
+    record Size(int proxies, int nodes, int slots, int queue, int memory, double ttlS, int connections,
+            double handshakeMs, double coldFrom, double coldS, double originMs, int originSlots) {
+    }
+
+    /**
+     * What is asked.
+     *
+     * @param ratePerS new requests a second of all clubs together
+     * @param workMs mean work of one on a standard core, in milliseconds
+     * @param keys different ones
+     * @param zipf exponent of their popularity
+     * @param retries how often a client tries again
+     * @param clubs shares of the load, in the order of the settings
+     */
+    record Load(double ratePerS, double workMs, int keys, double zipf, int retries, List<Double> clubs) {
+    }
+
+    static final Size SMALL = new Size(2, 8, 4, 20, 4000, 30, 700, 2.5, 0.2, 20, 60, 40);
+    static final Load PLAIN = new Load(62, 40, 20_000, 0.9, 2, List.of(0.45, 0.37, 0.18));
+    private static final double FIRST_FAULT_S = 1;
+    private static final int MOST_FAULTS = 5;
+
+    Scenario {
+        faults = List.copyOf(faults);
+    }
+
+    Scenario withSeed(long other) {
+        return new Scenario(name, other, seconds, town, load, faults);
+    }
+
+    Scenario withFaults(List<Fault> others) {
+        return new Scenario(name, seed, seconds, town, load, others);
+    }
+
+    /** A small town of which a seed draws all: sizes, load, and faults that may overlap. */
+    static Scenario drawn(long seed, double seconds) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Size size = new Size(1 + random.nextInt(4), 4 + random.nextInt(9), 2 + random.nextInt(5),
+            9 + random.nextInt(25), 4000, random.nextDouble(20, 40), 20 + random.nextInt(200),
+            random.nextDouble(1.2, 4), random.nextDouble(0.13, 0.35), random.nextDouble(12, 24),
+            random.nextDouble(30, 120), 40);
+        double workMs = random.nextDouble(8, 60);
+        // from a third of what the nodes can do to a little more than all of it
+        double ratePerS = Math.min(200, random.nextDouble(0.3, 1.1) * size.nodes / workMs * 1000);
+        Load load = new Load(ratePerS, workMs, 20_000, random.nextDouble(0.74, 0.97), random.nextInt(3),
+            PLAIN.clubs);
+        List<Fault> faults = new ArrayList<>();
+        for (int i = random.nextInt(MOST_FAULTS + 1); i > 0; i--) {
+            faults.add(drawnFault(random, size, load, random.nextDouble(FIRST_FAULT_S, seconds)));
+        }
+        return new Scenario("drawn", seed, seconds, size, load, faults);
+    }
+
+    private static Fault drawnFault(SplittableRandom random, Size size, Load load, double atS) {
+        Fault.Kind kind = Fault.Kind.values()[random.nextInt(Fault.Kind.values().length)];
+        double noticedS = random.nextDouble(0.5, 5);
+        double forS = random.nextDouble(0.5, 8);
+        double part = random.nextBoolean() ? 0 : random.nextDouble(0.05, 0.25);
+        double times = random.nextDouble(2, 10);
+        int node = random.nextInt(size.nodes);
+        int proxy = random.nextInt(size.proxies);
+        return switch (kind) {
+            case CRASH, SILENT -> new Fault(kind, atS, forS, noticedS, node, part, 0, 0);
+            case SLOW -> new Fault(kind, atS, forS, 0, node, part, times, 0);
+            case RESETS -> new Fault(kind, atS, forS, 0, node, part, 0, random.nextDouble(0.05, 0.5));
+            case REPLACE -> new Fault(kind, atS, forS, 0, node, 2 * part, 0, 0);
+            case RESTART -> new Fault(kind, atS, forS / 4, 0, proxy, 0, 0, 0);
+            case KILL -> new Fault(kind, atS, forS, Math.min(noticedS, 3.8), proxy, 0, 0, 0);
+            case HOLD -> new Fault(kind, atS, forS / 8, 0, proxy, 0, 0, 0);
+            case DISCOVERY_DOWN -> new Fault(kind, atS, forS, 0, 0, 0, 0, 0);
+            case SURGE -> new Fault(kind, atS, forS, 0, random.nextInt(load.clubs().size()), 0, times, 0);
+            case HOT_KEY -> new Fault(kind, atS, forS, 0, 0, random.nextDouble(0.1, 0.5), 0, 0);
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/Service.java
@@ -0,0 +1,153 @@
+package holdproxy.lab;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** How a town's clients were served, from its record. */
+final class Service {
+    /** What came to be in one second of the town; a want counts in the second in which it began. */
+    static final class Second {
+        long wanted;
+        long inTime;
+        double worthWanted;
+        double worthInTime;
+        long refused;
+        long failed;
+        long attempts;
+    }
+
+    private record Want(long us, RequestClass type, Second second, Second byClass) {
+    }
+
+    private static final long LONGEST_MS = 60_000;
+
+    private final List<Second> seconds = new ArrayList<>();
+    private final Map<String, Second> classes = new LinkedHashMap<>();
+    private final Map<String, Long> sentTo = new TreeMap<>();
+    private final Histogram servedMs = new Histogram(LONGEST_MS, 2);
+    private final Second all = new Second();
+
+    Service(List<Event> events) {
+        RequestClass.ALL.forEach(c -> classes.put(c.name(), new Second()));
+        Map<String, Want> open = new HashMap<>();
+        for (Event e : events) {
+            Second second = second(e.us());
+            switch (e.kind()) {
+                case WANTED -> {
+                    RequestClass type = RequestClass.named(e.detail());
+                    Want want = new Want(e.us(), type, second, classes.get(type.name()));
+                    open.put(e.id(), want);
+                    for (Second s : List.of(all, want.second, want.byClass)) {
+                        s.wanted++;
+                        s.worthWanted += type.worth();
+                    }
+                }
+                case ANSWERED -> answered(e, second, open);
+                case ARRIVED -> {
+                    second.attempts++;
+                    all.attempts++;
+                    sentTo.merge(e.where(), 1L, Long::sum);
+                }
+                default -> { }
+            }
+        }
+    }
+
+    private Second second(long us) {
+        int at = (int) (us / 1_000_000);
+        while (seconds.size() <= at) {
+            seconds.add(new Second());
+        }
+        return seconds.get(at);
+    }
+
+    private void answered(Event e, Second second, Map<String, Want> open) {
+        boolean refused = e.detail().startsWith("SERVER_ERROR busy");
+        if (e.id().isEmpty()) {
+            return;
+        } else if (!e.detail().startsWith("VA ") && !e.detail().startsWith("HD ")) {
+            second.refused += refused ? 1 : 0;
+            second.failed += refused ? 0 : 1;
+            all.refused += refused ? 1 : 0;
+            all.failed += refused ? 0 : 1;
+            return;
+        }
+        Want want = open.remove(e.id().substring(0,
+            e.id().length() - 1)); // the try's number is the last digit
+        if (want != null) {
+            long tookMs = (e.us() - want.us) / 1000;
+            servedMs.recordValue(Math.min(tookMs, LONGEST_MS));
+            if (tookMs <= want.type.aimMs()) {
+                for (Second s : List.of(all, want.second, want.byClass)) {
+                    s.inTime++;
+                    s.worthInTime += want.type.worth();
+                }
+            }
+        }
+    }
+
+    /** Worth answered in its wanted time over the worth asked for; 1 where nothing was. */
+    static double share(Second s) {
+        return s.worthWanted == 0 ? 1 : s.worthInTime / s.worthWanted;
+    }
+
+    Second all() {
+        return all;
+    }
+
+    List<Second> seconds() {
+        return seconds;
+    }
+
+    double share() {
+        return share(all);
+    }
+
+    /** Wants served at all, in time or late. */
+    long served() {
+        return servedMs.getTotalCount();
+    }
+
+    /** The least share of any 10 seconds in which something was wanted. */
+    double worstTenSeconds() {
+        double worst = share();
+        for (int from = 0; from + 10 <= seconds.size(); from++) {
+            Second ten = new Second();
+            seconds.subList(from, from + 10).forEach(s -> {
+                ten.worthWanted += s.worthWanted;
+                ten.worthInTime += s.worthInTime;
+            });
+            worst = Math.min(worst, share(ten));
+        }
+        return worst;
+    }
+
+    /** Commands at the busiest node over the mean of all that got any. */
+    double spread() {
+        double most = sentTo.values().stream().mapToLong(n -> n).max().orElse(0);
+        return most == 0 ? 1 : most * sentTo.size() / all.attempts;
+    }
+
+    /** In the order in which a report has them. */
+    Map<String, Object> figures() {
+        Map<String, Object> f = new LinkedHashMap<>();
+        f.put("in_time", share());
+        f.put("worst_10_s", worstTenSeconds());
+        classes.forEach((name, s) -> f.put("in_time_" + name.replace('-', '_'), share(s)));
+        f.put("wanted", all.wanted);
+        f.put("served", served());
+        f.put("refusals", all.refused);
+        f.put("failures", all.failed);
+        f.put("attempts_per_want", all.wanted == 0 ? 0 : (double) all.attempts / all.wanted);
+        f.put("busiest_node", spread());
+        f.put("served_p50_ms", servedMs.getValueAtPercentile(50));
+        f.put("served_p99_ms", servedMs.getValueAtPercentile(99));
+        f.put("served_p999_ms", servedMs.getValueAtPercentile(99.9));
+        return f;
+    }
+}
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -161,7 +160,7 @@
         ending = true;
         unread = true;
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(f -> ((SocketChannel) channel).shutdownOutput());
+            .addListener(f -> proxy.endSending(channel));
         throttle();
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -10,6 +10,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -19,7 +21,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -68,7 +69,7 @@
     private final Router.Report report = new Router.Report();
     private final Set<Integer> listed = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Promise<Void> drained;
     private final Lateness lateness;
     private boolean inEvent;
     private long nextId = 1;
@@ -84,6 +85,7 @@
         this.transport = transport;
         this.log = log;
         lateness = new Lateness(now());
+        drained = loop.newPromise();
         int left = config.sockets - OWN_DESCRIPTORS;
         mostSessions = left / 2;
         names = new Command.Names(new HashMap<>(), new HashMap<>());
@@ -259,6 +261,10 @@
         }
     }
 
+    void endSending(Channel channel) {
+        transport.endSending(channel);
+    }
+
     void closed(ClientSession s) {
         sessions.remove(s);
         idle.remove(s);
@@ -521,15 +527,10 @@
 
     // ---- the end ----
 
-    /** SIGTERM: serves on while new connections still come, then ends each connection after its answers. */
+    /** Does what SIGTERM asks for and waits for its end, but not for long. */
     void drain(long openMs) {
-        loop.execute(() -> {
-            draining = true;
-            log.line("ending: " + table.size() + " requests open");
-            loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
-        });
         try {
-            if (!drained.await(DRAIN_MOST_MS, TimeUnit.MILLISECONDS)) {
+            if (!end(openMs).await(DRAIN_MOST_MS)) {
                 log.line("ending with requests open");
             }
         } catch (InterruptedException e) {
@@ -537,6 +538,21 @@
         }
     }
 
+    /** As at SIGTERM; done once every connection has ended. */
+    public Future<Void> end() {
+        return end(DRAIN_OPEN_MS);
+    }
+
+    /** Serves on while new connections still come, then ends each connection after its answers. */
+    private Future<Void> end(long openMs) {
+        loop.execute(() -> {
+            draining = true;
+            log.line("ending: " + table.size() + " requests open");
+            loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
+        });
+        return drained;
+    }
+
     private void stopListening() {
         listener.close();
         listener = null;
@@ -548,7 +564,7 @@
 
     private void finishDrain() {
         if (draining && listener == null && sessions.isEmpty()) {
-            drained.countDown();
+            drained.trySuccess(null);
         }
     }
 }
--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -3,6 +3,7 @@
 import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -69,6 +70,11 @@
         throw new UnsupportedOperationException("a rehearsal has no listener");
     }
 
+    @Override
+    public void endSending(Channel channel) {
+        channel.close();
+    }
+
     private static ByteBuf request(Router.Settings settings, int i) {
         String fields = " O" + i + " Pc=" + settings.classes[i % settings.classes.length].name
             + (settings.tenants.length == 0 ? "" : ",t=" + settings.tenants[i % settings.tenants.length].name)
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -52,4 +53,9 @@
             })
             .bind(address);
     }
+
+    @Override
+    public void endSending(Channel channel) {
+        ((SocketChannel) channel).shutdownOutput();
+    }
 }
--- a/src/main/java/holdproxy/net/Transport.java
+++ b/src/main/java/holdproxy/net/Transport.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
@@ -15,4 +16,7 @@
 
     /** Listens; each connection that comes gets handlers of its own. Closing the future's channel ends it. */
     ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers);
+
+    /** Ends the sending on a connection that came, behind what was written; it can still be read from. */
+    void endSending(Channel channel);
 }
--- a/src/test/java/holdproxy/net/LatenessTest.java
+++ b/src/test/java/holdproxy/net/LatenessTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.policy.Router;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -49,6 +50,11 @@
             public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
                 throw new UnsupportedOperationException("clients come by hand");
             }
+
+            @Override
+            public void endSending(Channel channel) {
+                channel.close();
+            }
         }, new Log(time));
         proxy.nodes(Router.ListKind.CACHED,
             List.of(new Discovery.Entry(new Router.Node(), "node", config.listen)));
