lab overload and lab step: goodput, cycle, greedy clubs and settling by one command

Change: `lab overload` plays towns without faults under a steady open-loop load (capacity computed from the nodes) and reports the share of capacity served in the wanted time, least and most second, attempts, the cycle's period and size by autocorrelation, and what greedy clubs leave to those within their quota; `lab step` reports rise, overshoot and settling. Both as a table, JSON and PNG (JFreeChart, known to the lab alone).

--- /dev/null
+++ b/src/main/java/holdproxy/lab/Cycle.java
@@ -0,0 +1,61 @@
+package holdproxy.lab;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Whether a series swings: its autocorrelation's first peak beyond its first zero, averaged over plays. White
+ * noise has no peak that stands out; a swing has one at its period.
+ *
+ * @param periodS seconds from one top to the next; 0 where no peak stands out
+ * @param strength the autocorrelation there, 1 being a swing that repeats itself exactly
+ * @param size standard deviation over mean of counts in half seconds, beyond what chance arrivals would have
+ */
+record Cycle(double periodS, double strength, double size) {
+    private static final double LONGEST_S = 12;
+    /** A peak under so many standard errors of white noise's autocorrelation is none. */
+    private static final double ERRORS = 2;
+
+    /** Of the parts of several plays' series from this second on. */
+    static Cycle of(List<double[]> series, double fromS) {
+        int from = (int) (fromS / LoadSeries.BIN_S);
+        int length = series.get(0).length - from;
+        int lags = Math.min(length / 2, (int) (LONGEST_S / LoadSeries.BIN_S));
+        double[] mean = new double[lags];
+        double size = 0;
+        for (double[] s : series) {
+            double[] part = Arrays.copyOfRange(s, from, s.length);
+            double average = Arrays.stream(part).average().orElse(0);
+            double variance = Arrays.stream(part).map(x -> (x - average) * (x - average)).sum() / length;
+            double[] r = autocorrelation(part, average, lags);
+            Arrays.setAll(mean, lag -> mean[lag] + r[lag] / series.size());
+            size += Math.sqrt(Math.max(0, variance - average)) / Math.max(1e-9, average) / series.size();
+        }
+        int lag = 1;
+        while (lag < lags && mean[lag] > 0) {
+            lag++;
+        }
+        int top = lag;
+        for (int i = lag; i < lags; i++) {
+            top = mean[i] > mean[Math.min(top, lags - 1)] ? i : top;
+        }
+        double noise = ERRORS / Math.sqrt((double) length * series.size());
+        boolean found = top < lags && mean[top] > noise;
+        return new Cycle(found ? top * LoadSeries.BIN_S : 0, found ? mean[top] : 0, size);
+    }
+
+    private static double[] autocorrelation(double[] part, double mean, int lags) {
+        double zero = 0;
+        for (double x : part) {
+            zero += (x - mean) * (x - mean);
+        }
+        double[] r = new double[lags];
+        for (int lag = 0; lag < lags; lag++) {
+            for (int i = 0; i + lag < part.length; i++) {
+                r[lag] += (part[i] - mean) * (part[i + lag] - mean);
+            }
+            r[lag] /= Math.max(1e-9, zero);
+        }
+        return r;
+    }
+}
--- a/src/main/java/holdproxy/lab/LabCommand.java
+++ b/src/main/java/holdproxy/lab/LabCommand.java
@@ -16,10 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
-import java.util.function.Function;
+import java.util.function.Predicate;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -31,7 +28,7 @@
  */
 @Command(name = "lab", description = "Towns in virtual time that run the real proxy and check its rules.",
     mixinStandardHelpOptions = true, subcommands = {LabCommand.Run.class, LabCommand.Hunt.class,
-        LabCommand.Shrink.class, LabCommand.Compare.class})
+        LabCommand.Shrink.class, LabCommand.Compare.class, OverloadCommand.class, StepCommand.class})
 public final class LabCommand {
     private static final int SHOWN = 10;
 
@@ -51,25 +48,10 @@
         }).execute(args);
     }
 
-    /** Plays all of them on all cores but one, in order of the seeds; ends early where {@code go} says no. */
-    private static List<Play> playAll(List<Scenario> scenarios, Function<Play, Boolean> go)
+    /** As {@link Plays#all}, of whole plays, in order of the seeds; ends early where {@code go} says no. */
+    private static List<Play> playAll(List<Scenario> scenarios, Predicate<Play> go)
             throws InterruptedException, ExecutionException {
-        int cores = Math.max(1, Runtime.getRuntime().availableProcessors() - 1);
-        ExecutorService threads = Executors.newFixedThreadPool(cores);
-        try {
-            List<Future<Play>> running = new ArrayList<>();
-            scenarios.forEach(s -> running.add(threads.submit(() -> Play.of(s))));
-            List<Play> plays = new ArrayList<>();
-            for (Future<Play> play : running) {
-                plays.add(play.get());
-                if (!go.apply(play.get())) {
-                    break;
-                }
-            }
-            return plays;
-        } finally {
-            threads.shutdownNow();
-        }
+        return Plays.all(scenarios, Play::of, go);
     }
 
     private static int rules(Play play) {
--- /dev/null
+++ b/src/main/java/holdproxy/lab/LoadSeries.java
@@ -0,0 +1,102 @@
+package holdproxy.lab;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a town's clients wanted and had in time, and what its nodes were sent, by bins of half a second. A
+ * want counts in the bin in which it began, whenever its answer came; an attempt in the bin in which it
+ * reached its node.
+ */
+final class LoadSeries {
+    static final double BIN_S = 0.5;
+    private static final long BIN_US = (long) (BIN_S * 1e6);
+
+    private record Want(RequestClass type, int club, long us) {
+    }
+
+    /** Requests a second that the nodes can do. */
+    final double capacityPerS;
+    final List<Auditors.Broken> broken;
+    private final double[][] wanted;
+    private final double[][] inTime;
+    private final double[] attempts;
+
+    LoadSeries(Scenario scenario, List<Event> events, List<Auditors.Broken> broken) {
+        this.broken = broken;
+        capacityPerS = Town.capacityPerS(scenario);
+        int bins = (int) Math.ceil(scenario.seconds() / BIN_S);
+        int clubs = scenario.load().clubs().size();
+        wanted = new double[clubs][bins];
+        inTime = new double[clubs][bins];
+        attempts = new double[bins];
+        Map<String, Want> open = new HashMap<>();
+        for (Event e : events) {
+            int bin = (int) (e.us() / BIN_US);
+            if (e.kind() == Event.Kind.WANTED) {
+                int club = Integer.parseInt(e.where().substring(e.where().indexOf('-') + 1));
+                open.put(e.id(), new Want(RequestClass.named(e.detail()), club, e.us()));
+                wanted[club][bin]++;
+            } else if (e.kind() == Event.Kind.ARRIVED && bin < bins) {
+                attempts[bin]++;
+            } else if (e.kind() == Event.Kind.ANSWERED && MetaLines.served(e.detail()) && !e.id().isEmpty()) {
+                Want w = open.remove(e.id().substring(0, e.id().length() - 1)); // less the try's digit
+                if (w != null && e.us() - w.us <= w.type.aimMs() * 1000L) {
+                    inTime[w.club][(int) (w.us / BIN_US)]++;
+                }
+            }
+        }
+    }
+
+    /** Plays a scenario and its auditors. */
+    static LoadSeries of(Scenario scenario) {
+        try (Town town = new Town(scenario)) {
+            town.play();
+            List<Event> events = town.record.events();
+            return new LoadSeries(scenario, events, Auditors.broken(events));
+        }
+    }
+
+    private static double[] sum(double[][] clubs) {
+        double[] all = new double[clubs[0].length];
+        for (double[] club : clubs) {
+            Arrays.setAll(all, i -> all[i] + club[i]);
+        }
+        return all;
+    }
+
+    /** Of all clubs, by bins. */
+    double[] wanted() {
+        return sum(wanted);
+    }
+
+    /** Of all clubs, by bins. */
+    double[] inTime() {
+        return sum(inTime);
+    }
+
+    /** By bins. */
+    double[] attempts() {
+        return attempts.clone();
+    }
+
+    /** Part of what a club wanted from this second on that it had in time. */
+    double share(int club, double fromS) {
+        return perS(inTime[club], fromS) / Math.max(1e-9, perS(wanted[club], fromS));
+    }
+
+    /** Mean a second from this second on. */
+    static double perS(double[] bins, double fromS) {
+        return Arrays.stream(bins, (int) (fromS / BIN_S), bins.length).average().orElse(0) / BIN_S;
+    }
+
+    /** Counts of whole seconds, from this one on. */
+    static double[] bySecond(double[] bins, int fromS) {
+        int each = (int) (1 / BIN_S);
+        double[] seconds = new double[bins.length / each - fromS];
+        Arrays.setAll(seconds, s -> Arrays.stream(bins, (s + fromS) * each, (s + fromS + 1) * each).sum());
+        return seconds;
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/Plot.java
@@ -0,0 +1,45 @@
+package holdproxy.lab;
+
+import holdproxy.input.BadInput;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+
+/** A plot of lines over one axis, written as a picture. */
+final class Plot {
+    private static final int WIDTH = 1000;
+    private static final int HEIGHT = 560;
+
+    private final String title;
+    private final String xName;
+    private final String yName;
+    private final XYSeriesCollection lines = new XYSeriesCollection();
+
+    Plot(String title, String xName, String yName) {
+        this.title = title;
+        this.xName = xName;
+        this.yName = yName;
+        System.setProperty("java.awt.headless", "true");
+    }
+
+    void line(String name, double[] x, double[] y) {
+        XYSeries line = new XYSeries(name);
+        for (int i = 0; i < x.length; i++) {
+            line.add(x[i], y[i]);
+        }
+        lines.addSeries(line);
+    }
+
+    /** As PNG. */
+    void write(Path file) {
+        try {
+            ChartUtils.saveChartAsPNG(file.toFile(),
+                ChartFactory.createXYLineChart(title, xName, yName, lines), WIDTH, HEIGHT);
+        } catch (IOException e) {
+            throw new BadInput("cannot write " + file + ": " + e.getClass().getSimpleName());
+        }
+    }
+}
--- a/src/main/java/holdproxy/lab/Town.java
+++ b/src/main/java/holdproxy/lab/Town.java
@@ -128,14 +128,13 @@
     /** One more node, not up yet. */
     private CacheNode node() {
         int number = made++;
-        SplittableRandom random = stream("node kind", number);
-        boolean fast = random.nextDouble() < FAST_SHARE;
-        double[] speeds = fast ? FAST : STANDARD;
         Scenario.Size size = scenario.town();
-        CacheNode.Kind kind = new CacheNode.Kind(fast ? "fast-1c" : "std-1c", 1,
-            random.nextDouble(speeds[0], speeds[1]), size.slots(), size.queue(),
-            scenario.load().workMs() * 1000, size.coldFrom(), (long) (size.coldS() * 1e6),
-            size.memory(), (long) (size.ttlS() * 1e6), size.connections(), size.handshakeMs() * 1000);
+        SplittableRandom random = stream(scenario.seed(), "node kind", number);
+        boolean fast = random.nextDouble() < FAST_SHARE;
+        CacheNode.Kind kind = new CacheNode.Kind(fast ? "fast-1c" : "std-1c", 1, speed(random, fast),
+            size.slots(), size.queue(), scenario.load().workMs() * 1000, size.coldFrom(),
+            (long) (size.coldS() * 1e6), size.memory(), (long) (size.ttlS() * 1e6), size.connections(),
+            size.handshakeMs() * 1000);
         cores += kind.speed() * kind.cores();
         String name = "s-" + number;
         InetSocketAddress address = address(2, number, 11211);
@@ -146,6 +145,22 @@
         return node;
     }
 
+    private static double speed(SplittableRandom random, boolean fast) {
+        double[] speeds = fast ? FAST : STANDARD;
+        return random.nextDouble(speeds[0], speeds[1]);
+    }
+
+    /** Requests a second that all nodes of a scenario's town can do, of the mix that its clients ask. */
+    static double capacityPerS(Scenario scenario) {
+        double cores = 0;
+        for (int i = 0; i < scenario.town().nodes(); i++) {
+            SplittableRandom random = stream(scenario.seed(), "node kind", i);
+            cores += speed(random, random.nextDouble() < FAST_SHARE);
+        }
+        double work = RequestClass.ALL.stream().mapToDouble(c -> c.share() * c.work()).sum();
+        return cores * 1000 / (scenario.load().workMs() * work);
+    }
+
     /** The node that takes over a place, not up yet. */
     CacheNode successor(int place) {
         CacheNode node = node();
@@ -155,7 +170,11 @@
 
     /** A stream of chance of one part's own. */
     private SplittableRandom stream(String part, int number) {
-        return new SplittableRandom(scenario.seed() * 0x9e3779b97f4a7c15L + (part.hashCode() * 31L + number));
+        return stream(scenario.seed(), part, number);
+    }
+
+    private static SplittableRandom stream(long seed, String part, int number) {
+        return new SplittableRandom(seed * 0x9e3779b97f4a7c15L + (part.hashCode() * 31L + number));
     }
 
     /** Discovery looks at a node and tells what it sees, if it is something new. */
--- a/src/test/java/holdproxy/ArchitectureTest.java
+++ b/src/test/java/holdproxy/ArchitectureTest.java
@@ -38,7 +38,7 @@
     @Test
     void onlyTheLabKnowsTheLibrariesThatServiceDoesWithout() {
         noClasses().that().resideOutsideOfPackage("holdproxy.lab..").should().dependOnClassesThat()
-                .resideInAnyPackage("picocli..", "org.tomlj..", "org.HdrHistogram..").check(MAIN);
+                .resideInAnyPackage("picocli..", "org.tomlj..", "org.HdrHistogram..", "org.jfree..").check(MAIN);
     }
 
     @Test
