--- a/src/main/java/holdproxy/lab/Cycle.java
+++ b/src/main/java/holdproxy/lab/Cycle.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Whether a series swings: its autocorrelation's first peak beyond its first zero, averaged over plays. White
- * noise has no peak that stands out; a swing has one at its period.
+ * Whether a series swings: the highest point of its autocorrelation beyond the first zero, averaged over
+ * plays. White noise has none that stands out; a swing has one at its period.
  *
  * @param periodS seconds from one top to the next; 0 where no peak stands out
  * @param strength the autocorrelation there, 1 being a swing that repeats itself exactly
@@ -26,9 +26,9 @@
         for (double[] s : series) {
             double[] part = Arrays.copyOfRange(s, from, s.length);
             double average = Arrays.stream(part).average().orElse(0);
-            double variance = Arrays.stream(part).map(x -> (x - average) * (x - average)).sum() / length;
-            double[] r = autocorrelation(part, average, lags);
-            Arrays.setAll(mean, lag -> mean[lag] + r[lag] / series.size());
+            double[] c = autocovariance(part, average, lags);
+            Arrays.setAll(mean, lag -> mean[lag] + c[lag] / Math.max(1e-9, c[0]) / series.size());
+            double variance = c[0] / length;
             size += Math.sqrt(Math.max(0, variance - average)) / Math.max(1e-9, average) / series.size();
         }
         int lag = 1;
@@ -36,25 +36,21 @@
             lag++;
         }
         int top = lag;
-        for (int i = lag; i < lags; i++) {
-            top = mean[i] > mean[Math.min(top, lags - 1)] ? i : top;
+        for (int i = lag + 1; i < lags; i++) {
+            top = mean[i] > mean[top] ? i : top;
         }
         double noise = ERRORS / Math.sqrt((double) length * series.size());
         boolean found = top < lags && mean[top] > noise;
         return new Cycle(found ? top * LoadSeries.BIN_S : 0, found ? mean[top] : 0, size);
     }
 
-    private static double[] autocorrelation(double[] part, double mean, int lags) {
-        double zero = 0;
-        for (double x : part) {
-            zero += (x - mean) * (x - mean);
-        }
+    /** Summed, not averaged; that of lag 0 is the sum of squares. */
+    private static double[] autocovariance(double[] part, double mean, int lags) {
         double[] r = new double[lags];
         for (int lag = 0; lag < lags; lag++) {
             for (int i = 0; i + lag < part.length; i++) {
                 r[lag] += (part[i] - mean) * (part[i + lag] - mean);
             }
-            r[lag] /= Math.max(1e-9, zero);
         }
         return r;
     }
--- a/src/main/java/holdproxy/lab/Event.java
+++ b/src/main/java/holdproxy/lab/Event.java
@@ -47,6 +47,11 @@
         return end < 0 ? detail.substring(from) : detail.substring(from, end);
     }
 
+    /** Of the id of a try: what is common to all tries of its want, which is all but the last digit. */
+    String want() {
+        return id.substring(0, id.length() - 1);
+    }
+
     @Override
     public String toString() {
         return us + " " + kind + " " + where + " " + id + " " + detail;
--- a/src/main/java/holdproxy/lab/LabCommand.java
+++ b/src/main/java/holdproxy/lab/LabCommand.java
@@ -16,7 +16,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.function.Predicate;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -48,19 +47,14 @@
         }).execute(args);
     }
 
-    /** As {@link Plays#all}, of whole plays, in order of the seeds; ends early where {@code go} says no. */
-    private static List<Play> playAll(List<Scenario> scenarios, Predicate<Play> go)
-            throws InterruptedException, ExecutionException {
-        return Plays.all(scenarios, Play::of, go);
-    }
-
-    private static int rules(Play play) {
-        if (play.broken().isEmpty()) {
+    /** Says which rules were broken; returns the exit code for it. */
+    static int rules(List<Auditors.Broken> broken) {
+        if (broken.isEmpty()) {
             System.out.println("all rules kept");
             return 0;
         }
-        System.out.println(play.broken().size() + " times a rule was broken:");
-        play.broken().stream().limit(SHOWN).forEach(b -> System.out.println("  " + b));
+        System.out.println(broken.size() + " times a rule was broken:");
+        broken.stream().limit(SHOWN).forEach(b -> System.out.println("  " + b));
         return 1;
     }
 
@@ -111,7 +105,7 @@
                 at++;
             }
             System.out.println("verdict " + play.hash().substring(0, 8));
-            return rules(play);
+            return rules(play.broken());
         }
 
         private int json(Play play) {
@@ -155,14 +149,14 @@
             for (long seed = from; seed < from + seeds; seed++) {
                 scenarios.add(Scenario.drawn(seed, seconds));
             }
-            List<Play> plays = playAll(scenarios, p -> p.broken().isEmpty());
+            List<Play> plays = Plays.all(scenarios, Play::of, p -> p.broken().isEmpty());
             Play last = plays.get(plays.size() - 1);
             if (!last.broken().isEmpty()) {
                 System.out.println("seed " + last.scenario().seed());
                 if (out != null) {
                     save(out, last.scenario());
                 }
-                return rules(last);
+                return rules(last.broken());
             }
             report(plays, (System.nanoTime() - startNs) / 1e9);
             return 0;
@@ -206,7 +200,7 @@
                 s -> Play.of(s).broken().stream().anyMatch(b -> b.rule().equals(rule)));
             save(out, least);
             System.out.println("still breaks \"" + rule + "\": " + out);
-            return rules(Play.of(least));
+            return rules(Play.of(least).broken());
         }
     }
 
@@ -233,7 +227,7 @@
                     scenarios.add(s.withSeed(seed));
                 }
             }
-            List<Play> plays = playAll(scenarios, p -> true);
+            List<Play> plays = Plays.all(scenarios, Play::of, p -> true);
             System.out.printf("%-28s %8s %8s %8s   %8s %8s %8s%n", seeds + " seeds", "A mean", "least",
                 "most", "B mean", "least", "most");
             List<Map<String, Object>> figures = plays.stream().map(p -> p.service().figures()).toList();
--- a/src/main/java/holdproxy/lab/LoadSeries.java
+++ b/src/main/java/holdproxy/lab/LoadSeries.java
@@ -42,7 +42,7 @@
             } else if (e.kind() == Event.Kind.ARRIVED && bin < bins) {
                 attempts[bin]++;
             } else if (e.kind() == Event.Kind.ANSWERED && MetaLines.served(e.detail()) && !e.id().isEmpty()) {
-                Want w = open.remove(e.id().substring(0, e.id().length() - 1)); // less the try's digit
+                Want w = open.remove(e.want());
                 if (w != null && e.us() - w.us <= w.type.aimMs() * 1000L) {
                     inTime[w.club][(int) (w.us / BIN_US)]++;
                 }
@@ -82,6 +82,11 @@
         return attempts.clone();
     }
 
+    /** What was had in time from this second on, over what the nodes can do. */
+    double shareOfCapacity(double fromS) {
+        return perS(inTime(), fromS) / capacityPerS;
+    }
+
     /** Part of what a club wanted from this second on that it had in time. */
     double share(int club, double fromS) {
         return perS(inTime[club], fromS) / Math.max(1e-9, perS(wanted[club], fromS));
--- a/src/main/java/holdproxy/lab/OverloadCommand.java
+++ b/src/main/java/holdproxy/lab/OverloadCommand.java
@@ -61,19 +61,18 @@
         if (greedy > 0) {
             report.put("greedy", greedyRow(plays.subList(loads.size() * options.seeds(), plays.size())));
         }
-        long broken = plays.stream().mapToLong(p -> p.broken.size()).sum();
-        report.put("broken", broken);
+        List<Auditors.Broken> broken = plays.stream().flatMap(p -> p.broken.stream()).toList();
+        report.put("broken", broken.size());
         if (options.json) {
             System.out.println(JSON.std.asString(report));
         } else {
             print(rows, report);
-            plays.stream().flatMap(p -> p.broken.stream()).limit(10).forEach(System.out::println);
-            System.out.println(broken == 0 ? "all rules kept" : broken + " times a rule was broken");
+            LabCommand.rules(broken);
         }
         if (options.plot != null) {
             plot(rows);
         }
-        return broken == 0 ? 0 : 1;
+        return broken.isEmpty() ? 0 : 1;
     }
 
     private void check() {
@@ -93,8 +92,6 @@
     }
 
     private Map<String, Object> row(double load, List<LoadSeries> plays) {
-        double share = plays.stream()
-            .mapToDouble(p -> LoadSeries.perS(p.inTime(), warmUp) / p.capacityPerS).average().orElse(0);
         double[] seconds = plays.stream()
             .flatMapToDouble(p -> Arrays.stream(LoadSeries.bySecond(p.inTime(), warmUp))).sorted().toArray();
         Cycle served = Cycle.of(plays.stream().map(LoadSeries::inTime).toList(), warmUp);
@@ -102,9 +99,8 @@
         Map<String, Object> row = new LinkedHashMap<>();
         row.put("load", load);
         row.put("capacity_per_s", plays.stream().mapToDouble(p -> p.capacityPerS).average().orElse(0));
-        row.put("share", share);
-        row.put("spread", plays.stream().map(p -> LoadSeries.perS(p.inTime(), warmUp) / p.capacityPerS)
-            .sorted().toList());
+        row.put("share", share(plays));
+        row.put("spread", plays.stream().map(p -> p.shareOfCapacity(warmUp)).sorted().toList());
         row.put("least_s", seconds[0]);
         row.put("most_s", seconds[seconds.length - 1]);
         row.put("mean_s", Arrays.stream(seconds).average().orElse(0));
@@ -117,6 +113,10 @@
         return row;
     }
 
+    private double share(List<LoadSeries> plays) {
+        return plays.stream().mapToDouble(p -> p.shareOfCapacity(warmUp)).average().orElse(0);
+    }
+
     /** The clubs within their quota, and the greedy ones. */
     private Map<String, Object> greedyRow(List<LoadSeries> plays) {
         int clubs = options.clubs().size();
@@ -127,8 +127,7 @@
         row.put("within_mean", Arrays.stream(within).average().orElse(0));
         row.put("within_least", Arrays.stream(within).min().orElse(0));
         row.put("greedy_mean", Arrays.stream(shares, clubs - greedy, clubs).average().orElse(0));
-        row.put("share", plays.stream()
-            .mapToDouble(p -> LoadSeries.perS(p.inTime(), warmUp) / p.capacityPerS).average().orElse(0));
+        row.put("share", share(plays));
         return row;
     }
 
--- a/src/main/java/holdproxy/lab/Scenario.java
+++ b/src/main/java/holdproxy/lab/Scenario.java
@@ -77,11 +77,8 @@
     }
 
     Scenario withRate(double perS) {
-        return withLoad(new Load(perS, load.workMs, load.keys, load.zipf, load.retries, load.clubs));
-    }
-
-    Scenario withLoad(Load other) {
-        return new Scenario(name, seed, seconds, town, other, faults);
+        return new Scenario(name, seed, seconds, town, new Load(perS, load.workMs, load.keys, load.zipf,
+            load.retries, load.clubs), faults);
     }
 
     /** A small town of which a seed draws all: sizes, load, and faults that may overlap. */
--- a/src/main/java/holdproxy/lab/Service.java
+++ b/src/main/java/holdproxy/lab/Service.java
@@ -76,8 +76,7 @@
             }
             return;
         }
-        // the try's number is the last digit
-        Want want = open.remove(e.id().substring(0, e.id().length() - 1));
+        Want want = open.remove(e.want());
         if (want != null) {
             long tookMs = (e.us() - want.us) / 1000;
             servedMs.recordValue(Math.min(tookMs, LONGEST_MS));
