Leave out nodes whose dials fail, and let the next try after one cost nothing

`retry` asked 1 of the budget (0.1 earned an answer) for each further try although a failed dial never ran and cost no node anything, and `nodeEvidence` takes a step of 0.33 with a fade of 5 s for a node met once a second, less 0.7 of the median, which most nodes failing alike pulls up: each proxy went on dialling each dead node. Ruled out: the list (its calls did not fail), the origin's chance (0.0), time-outs (20 to 50 a second).

Change: after a failed dial a node gets nothing for 0.5 s, then a single trial, 1 s, 2 s and up to 4 s apart, until it answers or its process is new; the try after a failed dial is free (3 attempts at most, as ever). A failed dial no longer steps the node's chance. The proxy's log has a line a second that counts by cause (`Tally`), to be added up over a fleet.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -58,6 +58,7 @@
 
     void dialed(ChannelFuture f) {
         if (!f.isSuccess()) {
+            pool.pools.dialFailed();
             gone();
         }
     }
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -47,6 +47,7 @@
             NodeConnection c = idle.pollLast();
             stopTimer(c);
             if (c.usable()) {
+                pools.reused();
                 return c;
             }
         }
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -22,6 +22,9 @@
     private final int dialMs;
     private final Map<Integer, NodePool> byId = new HashMap<>();
     private int open;
+    private int dials;
+    private int dialsFailed;
+    private int reused;
 
     NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most, Transport transport) {
         this.proxy = proxy;
@@ -73,6 +76,7 @@
             return null;
         }
         open++;
+        dials++;
         NodeConnection c = new NodeConnection(pool);
         pool.added(c);
         transport.connect(pool.address, dialMs, new Answer.Decoder(), c)
@@ -80,6 +84,22 @@
         return c;
     }
 
+    void dialFailed() {
+        dialsFailed++;
+    }
+
+    void reused() {
+        reused++;
+    }
+
+    /** Connections made, failed and used again since this was asked last, and how many are open. */
+    String counted() {
+        String text = dials + reused == 0 ? "" : " dials=" + dials + " dials_failed=" + dialsFailed
+            + " reused=" + reused + " open=" + open;
+        dials = dialsFailed = reused = 0;
+        return text;
+    }
+
     void closed() {
         open--;
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -3,6 +3,7 @@
 import holdproxy.input.BadInput;
 import holdproxy.policy.Choice;
 import holdproxy.policy.Router;
+import holdproxy.policy.Tally;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -47,6 +48,7 @@
     private static final long DRAIN_MOST_MS = 3_600;
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
+    private static final int COUNT_EVERY_MS = 1000;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
 
@@ -59,6 +61,8 @@
     private final NodePools pools;
     private final Discovery discovery;
     private final Router router;
+    private final Tally tally;
+    private final Tally told = new Tally();
     private final Map<Long, Exchange> table = new HashMap<>();
     /** In the order of their coming, so that a run in virtual time can be played again. */
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
@@ -98,7 +102,9 @@
         pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING,
             transport);
         discovery = new Discovery(this, config, transport, log);
-        router = new Choice(config.settings, config.seed, now(), this);
+        Choice choice = new Choice(config.settings, config.seed, now(), this);
+        router = choice;
+        tally = choice.tally;
     }
 
     /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
@@ -169,6 +175,7 @@
 
     private void begin() {
         tickLater();
+        countLater();
         discovery.start();
         if (!config.settings.askForNodes) {
             discovery.watch();
@@ -197,6 +204,17 @@
         }, Lateness.TICK_US, TimeUnit.MICROSECONDS);
     }
 
+    /** What was counted, on a line of its own: the logs of a whole fleet can be added up by it. */
+    private void countLater() {
+        loop.schedule(() -> {
+            String counted = tally.sinceThen(told) + pools.counted();
+            if (!counted.isEmpty()) {
+                log.line("counted:" + counted);
+            }
+            countLater();
+        }, COUNT_EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
     void tick() {
         lateness.ticked(now());
     }
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -1,5 +1,6 @@
 package holdproxy.policy;
 
+import holdproxy.policy.Tally.Count;
 import java.util.Arrays;
 
 // The interface, with its types, events and actions, stands in Router.java.
@@ -89,6 +90,8 @@
     static final int TIMER_ASK = 0;
     static final int TIMER_COPY = 1;
 
+    /** For people who count; nothing is decided by it. */
+    public final Tally tally = new Tally();
     private final Settings set;
     private final int attemptsMost;
     private final Random random;
@@ -149,6 +152,7 @@
 
     @Override
     public void onNodes(long now, ListKind kind, Node[] nodes, int count, Actions out) {
+        tally.add(kind == ListKind.FAILED ? Count.LISTS_FAILED : Count.LISTS);
         if (kind == ListKind.FAILED) {
             subscribed = false;
             report(now, "node list call failed", out);
@@ -172,6 +176,7 @@
             rotateAt = now + ROTATE_US;
         }
         int tenant = q.tenant >= 0 && q.tenant < asked.length ? q.tenant : 0;
+        tally.add(q.repeat ? Count.REPEATS : Count.REQUESTS);
         if (!q.repeat) {
             asked[tenant].count(now); // what clients repeat after a refusal is not more demand
         }
@@ -180,6 +185,7 @@
         all.count(now);
         double chance = live.min(tenant, now);
         if (chance > 0 && random.unit() < chance) {
+            tally.add(Count.REFUSED_BY_CHANCE);
             report(now, "refusing requests", out);
             out.refuse(q.id, retryAfter(chance));
             return;
@@ -240,13 +246,22 @@
         int seen = 0;
         for (int i = 0; i < ranked.length && ranked[i] != null && seen < CHOICES; i++) {
             Target t = ranked[i];
-            if (!r.tried(t) && mayResend(r, t, now) && admits(t, r, key, now) && !passedOver(t, key, now)) {
+            if (!down(t, now) && !r.tried(t) && mayResend(r, t, now) && admits(t, r, key, now)
+                    && !passedOver(t, key, now)) {
                 best = seen++ == 0 || lessBusy(t, best, now) ? t : best;
             }
         }
         return best;
     }
 
+    private boolean down(Target t, long now) {
+        boolean down = t.down(now);
+        if (down) {
+            tally.add(Count.DOWN);
+        }
+        return down;
+    }
+
     /** Fewer of our own in flight; with few a proxy most are ties, which reported load decides. */
     private static boolean lessBusy(Target t, Target best, long now) {
         int more = t.inFlight - best.inFlight;
@@ -274,7 +289,9 @@
         double warm = Math.max(0, (double) (now - t.startedUs) / set.coldUs);
         double capacity = set.coldFrom + (1 - set.coldFrom) * warm;
         double part = COLD_PART + (1 - COLD_PART) * warm;
-        return Blue.unit(Blue.mix(key + 31 * Blue.mix(t.id))) < capacity * part;
+        boolean admitted = Blue.unit(Blue.mix(key + 31 * Blue.mix(t.id))) < capacity * part;
+        tally.add(admitted ? Count.SENT_COLD : Count.HELD_FROM_COLD);
+        return admitted;
     }
 
     /**
@@ -283,7 +300,11 @@
      */
     private boolean passedOver(Target t, long key, long now) {
         double chance = t.chance.get(now) - USUAL_PART * usualNode;
-        return chance > 0 && Blue.unit(Blue.mix(key - 31 * Blue.mix(t.id))) < chance;
+        boolean passed = chance > 0 && Blue.unit(Blue.mix(key - 31 * Blue.mix(t.id))) < chance;
+        if (passed) {
+            tally.add(Count.PASSED_OVER);
+        }
+        return passed;
     }
 
     private Target origin() {
@@ -335,6 +356,8 @@
         long left = giveUpAt(r) - now;
         if (t == null || left <= 0 || r.attempts >= attemptsMost) {
             if (r.out == 0) {
+                tally.add(left <= 0 ? Count.REFUSED_WITHOUT_TIME : r.attempts > 0 && budget < 1
+                        ? Count.REFUSED_WITHOUT_BUDGET : Count.REFUSED_WITHOUT_NODE);
                 finish(r, now, out); // else an attempt still out may bring the answer
             }
             return;
@@ -343,6 +366,7 @@
             closeIdle(t, out);
         }
         r.idledUs[r.attempts] = t.idleSince != Long.MIN_VALUE ? now - t.idleSince : -1;
+        tally.add(r.attempts == 0 ? Count.ATTEMPTS : r.out == 0 ? Count.FURTHER : Count.COPIES);
         r.sent(t, now);
         out.send(r.id, t.id, giveUpAt(r) < r.due ? left : 0);
     }
@@ -377,7 +401,8 @@
         }
     }
 
-    private static void closeIdle(Target t, Actions out) {
+    private void closeIdle(Target t, Actions out) {
+        tally.add(Count.IDLE_CLOSED);
         t.idleSince = Long.MIN_VALUE;
         out.closeIdle(t.id);
     }
@@ -395,7 +420,11 @@
     /** Trouble is not multiplied: further attempts are paid from what ordinary requests have earned. */
     private void retry(Open r, long now, Actions out) {
         boolean toOrigin = set.aside && r.write;
-        double price = r.out != 0 ? COPY_PRICE : 1;
+        if (r.out != 0 && budget < COPY_PRICE) {
+            tally.add(Count.COPIES_WITHOUT_BUDGET);
+        }
+        // a dial that failed has cost no node anything: what follows is in effect the first attempt
+        double price = r.out != 0 ? COPY_PRICE : r.last == Outcome.CONNECT_FAILED ? 0 : 1;
         boolean may = budget >= price && giveUpAt(r) > now && (r.out == 0 || set.secondCopies);
         Target t = !may || r.attempts >= attemptsMost ? null : toOrigin ? origin() : choose(r, now);
         if (t == null || !mayResend(r, t, now)) {
@@ -417,6 +446,7 @@
         if (mayRefuse(r)) {
             out.refuse(r.id, retryAfter(live.min(r.tenant, now)));
         } else {
+            tally.add(Count.FAILED);
             out.fail(r.id);
         }
         conclude(r, out);
@@ -444,7 +474,12 @@
             return;
         }
         Target t = r.node[attempt];
-        r.ended(attempt, o.neverRan);
+        r.ended(attempt, o);
+        if (o == Outcome.CONNECT_FAILED) {
+            t.dialFailed(now);
+        } else if (o == Outcome.OK || o == Outcome.MISS || o == Outcome.ERROR || o == Outcome.OVERLOADED) {
+            t.up();
+        }
         released(r, attempt, o, now, out);
         if (report.busy >= 0) {
             t.busy.set(report.busy, now);
@@ -452,6 +487,15 @@
             t.busy.set(r.waited(latency), now); // no report: how long a hit took tells
         }
         boolean fromOrigin = fleet.isOrigin(t);
+        switch (o) {
+            case OK -> tally.add(now - r.arrived > r.type.aimUs ? Count.LATE : Count.SERVED);
+            case ERROR -> tally.add(Count.ERRORS);
+            case OVERLOADED -> tally.add(Count.OVERLOADED);
+            case TIMEOUT -> tally.add(Count.TIMEOUTS);
+            case CONNECT_FAILED -> tally.add(Count.CONNECT_FAILED);
+            case RESET -> tally.add(Count.RESETS);
+            default -> { }
+        }
         if (o != Outcome.CANCELLED && o != Outcome.NOT_SENT) {
             learn(r, attempt, t, fromOrigin, o, note, latency, now);
         }
@@ -477,7 +521,7 @@
             boolean failed = !good || fetched && latency > r.type.aimUs;
             step(originChance, failed, rate(now) * ORIGIN_PART, ORIGIN_WEIGHT, now);
         }
-        if (!fromOrigin && (good || !fetched)) {
+        if (!fromOrigin && o != Outcome.CONNECT_FAILED && (good || !fetched)) {
             boolean lateHit = latency > r.type.aimUs && !fetched;
             double weight = o == Outcome.TIMEOUT || o == Outcome.OK ? SOFT : 1;
             nodeEvidence(t, !good || lateHit, weight, now);
--- a/src/main/java/holdproxy/policy/Fleet.java
+++ b/src/main/java/holdproxy/policy/Fleet.java
@@ -51,6 +51,7 @@
             known[knownCount++] = t;
         }
         if (n.startedUs != t.startedUs) {
+            t.up();
             t.chance.set(0, 0); // a new process: what the old one did no longer counts
         }
         t.cell = n.cell;
--- a/src/main/java/holdproxy/policy/Open.java
+++ b/src/main/java/holdproxy/policy/Open.java
@@ -17,6 +17,8 @@
     boolean done;
     boolean blamed;
     int attempts;
+    /** How the attempt that ended last did so. */
+    Router.Outcome last;
     /** Bits by attempt: still out, and not proven never to have run. */
     int out;
     int mayHaveRun;
@@ -54,10 +56,11 @@
         return attempt < attempts && (out & 1 << attempt) != 0;
     }
 
-    void ended(int attempt, boolean neverRan) {
+    void ended(int attempt, Router.Outcome outcome) {
+        last = outcome;
         out &= ~(1 << attempt);
         node[attempt].inFlight--;
-        if (neverRan) {
+        if (outcome.neverRan) {
             mayHaveRun &= ~(1 << attempt);
         }
     }
--- a/src/main/java/holdproxy/policy/Target.java
+++ b/src/main/java/holdproxy/policy/Target.java
@@ -4,6 +4,9 @@
 final class Target {
     /** A chance of being passed over fades by 1/e in this time, in quiet proxies later. */
     static final double FADE_US = 5e6;
+    /** After a failed dial the next trial waits so long, twice as long after each further one. */
+    static final long DOWN_FIRST_US = 500_000;
+    static final long DOWN_MOST_US = 4_000_000;
     static final double BUSY_FADE_US = 10e6;
 
     final int id;
@@ -13,6 +16,9 @@
     double weight;
     Router.NodeState state;
     long startedUs = Long.MIN_VALUE;
+    /** Dials that failed running, and when the next one may be tried. */
+    private int failedDials;
+    private long downUntil = Long.MIN_VALUE;
     /** Our own attempts out. */
     int inFlight;
     /** Its one BLUE bucket: the chance of being passed over. */
@@ -26,4 +32,20 @@
     Target(int id) {
         this.id = id;
     }
+
+    /** It took no connection: nothing is sent there for a while, longer each time. */
+    void dialFailed(long now) {
+        downUntil = now + Math.min(DOWN_MOST_US, DOWN_FIRST_US << Math.min(failedDials, 10));
+        failedDials++;
+    }
+
+    /** It answered, or its process is a new one. */
+    void up() {
+        failedDials = 0;
+    }
+
+    /** Whether nothing goes there: its dials fail, and no trial is due or one is out already. */
+    boolean down(long now) {
+        return failedDials > 0 && (now < downUntil || inFlight > 0);
+    }
 }
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -337,6 +337,45 @@
         }
     }
 
+    /** zone+vast: 14 proxies dialled 26 dead nodes 700 times a second, until the list told of them 3 s later. */
+    @Test
+    void aNodeThatTakesNoConnectionIsLeftOutButForTrialsAndComesBack() {
+        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        int dead = 0;
+        int first = -1;
+        for (int i = 0; i < 400; i++) {
+            long now = i * 50 * MS;
+            boolean down = now < 10 * S;
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), out);
+            for (int attempt = 0; attempt < 3 && out.sent.get(out.sent.size() - 1).request() == i; attempt++) {
+                boolean refuses = down && out.lastNode() <= 5;
+                dead += refuses ? 1 : 0;
+                first = !down && first < 0 && out.lastNode() == 1 ? i : first;
+                out.outcome(p, now, i, attempt, refuses ? Router.Outcome.CONNECT_FAILED : Router.Outcome.OK);
+                if (!refuses) {
+                    break;
+                }
+            }
+        }
+        // trials after 0.5 s, 1 s, 2 s and every 4 s make six a node in 10 s, where 200 requests came
+        assertTrue(dead >= 5 && dead <= 6 * 5, "attempts at five dead nodes in 10 s: " + dead);
+        assertTrue(first > 0 && first < 200 + 5 * 20, "back in use within 5 s: request " + first);
+    }
+
+    /** zone+vast: 600 to 900 requests a second refused because the next try after a failed dial had to be paid. */
+    @Test
+    void theNextTryAfterAFailedDialIsFree() {
+        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(20));
+        for (int i = 0; i < 60; i++) {
+            p.onRequest(0, Fixture.request(i, 1 + i, S), out);
+        }
+        for (int i = 0; i < 60; i++) {
+            out.outcome(p, MS, i, 0, Router.Outcome.CONNECT_FAILED);
+        }
+        long again = out.sent.stream().skip(60).map(Fixture.Sent::request).distinct().count();
+        assertTrue(again >= 12 && again == 60 - out.refused.size(), "sent on after a failed dial: " + again);
+    }
+
     /** What fails at nodes that fail more than others must not get a tenant within its quota refused elsewhere. */
     @Test
     void aTenantWithinItsQuotaIsSparedTheBlameForNodesThatFailMoreThanOthers() {
