A failed dial no longer closes the connections to sound nodes where handshakes are priced

`released` gave every failed dial to `Idling.turnedAway`, one e-fold of the time that any connection may idle, up to 12, fading over 60 s: 26 dead nodes say the same as nodes with full tables, and each of 14 proxies closes each connection after use. Ruled out: closed by nodes (0 closed as idle), descriptors (80 of 384).

Change: where handshakes have a price, a failed dial does not shorten the time that connections to other nodes idle.

--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -374,8 +374,9 @@
     /**
      * Connections: silence on one that had idled (dropped unseen), or a node that takes no new ones (all its
      * places held by idle ones) shortens the time that any may idle. One that would be closed before its next
-     * use is closed at once, which leaves room for others; where handshakes have a price, not before such
-     * failures were seen. A crash looks alike and costs some handshakes.
+     * use is closed at once, which leaves room for others; where handshakes have a price, not before silence
+     * was met. A node that is down turns connections away too: where each new one is paid for by the whole
+     * fleet, that is no reason to close those to all other nodes.
      */
     private void released(Open r, int attempt, Outcome o, long now, Actions out) {
         Target t = r.node[attempt];
@@ -384,7 +385,9 @@
             return; // one that all share: a handshake there costs the most when it is slow
         }
         if (o == Outcome.CONNECT_FAILED) {
-            idling.turnedAway(now);
+            if (set.handshakePrice == 0) {
+                idling.turnedAway(now);
+            }
         } else if (o == Outcome.RESET) {
             t.idleSince = Long.MIN_VALUE;
         } else {
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -337,6 +337,31 @@
         }
     }
 
+    /** zone+vast: 26 of 60 nodes down, after which every proxy closed each connection to the others after use. */
+    @Test
+    void whereHandshakesHaveAPriceNodesThatAreDownCloseNoConnectionToOthers() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.idleCloseUs = 30 * S;
+        s.handshakePrice = 0.08;
+        Choice p = out.choice(s, 1, Fixture.nodes(8));
+        int down = 0;
+        for (int i = 0; i < 400; i++) {
+            long now = i * 50 * MS;
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), out);
+            if (out.sent.isEmpty() || out.sent.get(out.sent.size() - 1).request() != i) {
+                continue;
+            }
+            boolean dead = out.lastNode() <= 3;
+            down += dead ? 1 : 0;
+            out.outcome(p, now + MS, i, 0, dead ? Router.Outcome.CONNECT_FAILED : Router.Outcome.OK);
+            if (dead && out.sent.get(out.sent.size() - 1).request() == i) {
+                out.outcome(p, now + 2 * MS, i, 1, Router.Outcome.OK);
+            }
+        }
+        assertTrue(down > 10, "the dead nodes were met: " + down);
+        assertTrue(out.all.stream().noneMatch(a -> a.startsWith("close")), "closed though its node is sound");
+    }
+
     /** zone+vast: 14 proxies dialled 26 dead nodes 700 times a second, until the list told of them 3 s later. */
     @Test
     void aNodeThatTakesNoConnectionIsLeftOutButForTrialsAndComesBack() {
