Give cold nodes three quarters of what they can do at first, not two fifths

COLD_PART held a cold node at 0.4 of the least capacity that the settings promise.

Checked and dropped: a factor of all nodes over what all can do.

--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -72,7 +72,7 @@
     static final double HEAT_US = 20e6;
     static final int HEAT_BUCKETS = 256;
     // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work.
-    static final double COLD_PART = 0.4;
+    static final double COLD_PART = 0.75;
     // Further attempts and second copies are paid from a budget earned by requests.
     static final double BUDGET_EARN = 0.1;
     static final double BUDGET_MOST = 10;
