Admit keys to cold nodes by the load that quotas tell of, not as if the fleet were full

The quotas say that the fleet can do over 3,000 requests a second where 1,000 are asked for: `admits` gave a cold node the part of keys that a full fleet could send it. What is held back goes to nodes that lack it too, and moves once more each second, as the part grows: each move is a fetch. Ruled out: want of cores (a quarter of the fleet's rate is asked for), tables of connections (0 to 8 answers "busy").

Change: the admitted part is divided by what is asked for over all quotas, from 0.4 to 1; the floor bounds what a proxy believes that has just started and knows no rates. What all proxies send a cold node stays under its least capacity.

--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -73,7 +73,9 @@
     static final double HOT_SHARE = 0.5;
     static final double HEAT_US = 20e6;
     static final int HEAT_BUCKETS = 256;
-    // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work.
+    // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work. The
+    // load says how many keys fill it; no less than this is believed, as a proxy just started knows no rates.
+    static final double LOAD_LEAST = 0.4;
     static final double COLD_PART = 0.75;
     // Further attempts and second copies are paid from a budget earned by requests.
     static final double BUDGET_EARN = 0.1;
@@ -291,7 +293,7 @@
         double warm = Math.max(0, (double) (now - t.startedUs) / set.coldUs);
         double capacity = set.coldFrom + (1 - set.coldFrom) * warm;
         double part = COLD_PART + (1 - COLD_PART) * warm;
-        boolean admitted = Blue.unit(Blue.mix(key + 31 * Blue.mix(t.id))) < capacity * part;
+        boolean admitted = Blue.unit(Blue.mix(key + 31 * Blue.mix(t.id))) < capacity * part / load(now);
         tally.add(admitted ? Count.SENT_COLD : Count.HELD_FROM_COLD);
         return admitted;
     }
@@ -569,6 +571,17 @@
         }
     }
 
+    /** What is asked for as a share of all quotas, which stand for what the fleet can do; 1 where none do. */
+    private double load(long now) {
+        double quota = 0;
+        double wanted = 0;
+        for (int i = 0; i < set.tenants.length; i++) {
+            quota += set.tenants[i].quotaPerS;
+            wanted += rate(asked[i], now);
+        }
+        return quota <= 0 ? 1 : Math.max(LOAD_LEAST, Math.min(1, wanted * set.routers / quota));
+    }
+
     /** Requests a second here. */
     private double rate(long now) {
         return rate(all, now);
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -401,6 +401,34 @@
         assertTrue(again >= 12 && again == 60 - out.refused.size(), "sent on after a failed dial: " + again);
     }
 
+    /** join+vast: 36 of 60 nodes cold at a quarter of the fleet's load; nine of ten keys were held from them. */
+    @Test
+    void coldNodesAdmitTheMoreKeysTheLessIsAskedFor() {
+        double full = coldShare(1);
+        double half = coldShare(0.5);
+        double little = coldShare(0.01);
+        assertEquals(2, half / full, 0.3);
+        assertEquals(1 / Choice.LOAD_LEAST, little / full, 0.3, "a rate that is not known yet is not believed");
+    }
+
+    /** The share of requests that a cold node among eight gets while this share of all quotas is asked for. */
+    private static double coldShare(double load) {
+        Fixture f = new Fixture();
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.secondCopies = false;
+        s.coldUs = 1_000_000 * S; // it stays as cold as it is
+        s.tenants[0].quotaPerS = 100 * s.routers / load;
+        Router.Node[] nodes = Fixture.nodes(8);
+        nodes[0].startedUs = 0;
+        Choice p = f.choice(s, 1, nodes);
+        for (int i = 0; i < 12_000; i++) {
+            long now = i * 10 * MS;
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), f);
+            f.outcome(p, now, i, 0, Router.Outcome.OK);
+        }
+        return f.sent.stream().skip(4000).filter(a -> a.node() == 1).count() / 8000.0;
+    }
+
     /** join+vast: nodes slowed nine times were met by each of 14 proxies once a second, and kept half their keys. */
     @Test
     void withoutNotesOnHitsASlowNodeLosesTheTies() {
