--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -39,7 +39,8 @@
     static final double QUOTA_DOUBT = 3;
     static final double QUOTA_MOST = 4;
     static final double RATIO_LEARN = 1.0 / 64;
-    // A choked fleet heals only at a fraction of its load: failures running without one success prove it.
+    // A choked fleet heals only at a fraction of its load: failures running without one success prove it. The
+    // less is asked for, the less likely it is choked: where a quarter fails two in a row are mere chance.
     static final double STREAK_TELLS = 3;
     static final double STREAK_MOST = 4;
     // While they run, chances fade up to so many times slower: many proxies' trials keep a fleet choked.
@@ -640,7 +641,8 @@
     private double overQuota(int tenant, long now) {
         double ratio = quotaRatio(tenant, now) / Math.max(1e-3, meanRatio);
         double demand = Math.min(1, meanRatio);
-        double certain = Math.min(STREAK_MOST, streak / STREAK_TELLS);
+        double beyondChance = Math.max(0, streak - STREAK_TELLS * (1 - demand));
+        double certain = Math.min(STREAK_MOST, beyondChance / STREAK_TELLS);
         return Math.min(QUOTA_MOST, ratio * ratio) * Math.max(demand * demand, certain);
     }
 
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -446,6 +446,32 @@
         assertTrue(slow > 0 && slow < 2000 / 8 / 3, "of an even 250 the slow one got " + slow);
     }
 
+    /** zone+vast: a quarter fails while the register refills lost caches; 40% of all tries were refused for it. */
+    @Test
+    void failuresInARowProveNoWantOfCapacityWhereLittleIsAskedFor() {
+        double little = refusedWhereAQuarterFails(0.25);
+        double full = refusedWhereAQuarterFails(1);
+        assertTrue(full > 0.3, "refused at full demand: " + full);
+        assertTrue(little < full / 2, "refused at a quarter of it: " + little + ", at full demand " + full);
+    }
+
+    private static double refusedWhereAQuarterFails(double demand) {
+        Fixture f = new Fixture();
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.secondCopies = false;
+        s.maxAttempts = 1;
+        s.tenants[0].quotaPerS = 50 * s.routers / demand;
+        Choice p = f.choice(s, 1, Fixture.nodes(12));
+        java.util.Random random = new java.util.Random(1);
+        for (int i = 0; i < 1500; i++) {
+            long now = i * 20 * MS;
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), f);
+            Router.Outcome o = random.nextInt(4) == 0 ? Router.Outcome.OVERLOADED : Router.Outcome.OK;
+            f.outcome(p, now, i, 0, o);
+        }
+        return 1 - f.sent.size() / 1500.0;
+    }
+
     /** What fails at nodes that fail more than others must not get a tenant within its quota refused elsewhere. */
     @Test
     void aTenantWithinItsQuotaIsSparedTheBlameForNodesThatFailMoreThanOthers() {
