Rank twelve candidates for a key: with most nodes down, six were often all out of reach

A test of 60 nodes with 36 down sends 957 of 1,000 requests to a node that is up with six ranked, over 980 with twelve.

--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -64,7 +64,7 @@
     static final double ORIGIN_WEIGHT = 3;
     // Candidates ranked for a key: two, and spares for those that fail, warm up or were tried.
     static final int CHOICES = 2;
-    static final int RANKED = 6;
+    static final int RANKED = 12;
     // A tie goes to the second candidate if the first reports this much more of its cores busy.
     static final double BUSY_TIE = 0.2;
     // Without notes on hits the answers of reads tell how busy a node is, each by this much.
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -472,6 +472,26 @@
         return 1 - f.sent.size() / 1500.0;
     }
 
+    /** zone+vast: with 36 of 60 nodes down six ranked candidates were all down for one key in twenty. */
+    @Test
+    void aKeyMostOfWhoseCandidatesAreDownIsStillSent() {
+        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(60));
+        int served = 0;
+        for (int i = 0; i < 1200; i++) {
+            long now = i * MS;
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), out);
+            for (int attempt = 0; attempt < 3 && out.sent.get(out.sent.size() - 1).request() == i; attempt++) {
+                boolean down = out.lastNode() <= 36;
+                served += down || i < 200 ? 0 : 1;
+                out.outcome(p, now, i, attempt, down ? Router.Outcome.CONNECT_FAILED : Router.Outcome.OK);
+                if (!down) {
+                    break;
+                }
+            }
+        }
+        assertTrue(served >= 980, "of 1000 requests " + served + " were sent to a node that is up");
+    }
+
     /** What fails at nodes that fail more than others must not get a tenant within its quota refused elsewhere. */
     @Test
     void aTenantWithinItsQuotaIsSparedTheBlameForNodesThatFailMoreThanOthers() {
