--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -76,7 +76,7 @@
     static final int HEAT_BUCKETS = 256;
     // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work. The
     // load says how many keys fill it; no less than this is believed, as a proxy just started knows no rates.
-    static final double LOAD_LEAST = 0.4;
+    static final double LOAD_LEAST = 0.6;
     static final double COLD_PART = 0.75;
     // Further attempts and second copies are paid from a budget earned by requests.
     static final double BUDGET_EARN = 0.1;
