--- a/src/main/java/holdproxy/policy/Tally.java
+++ b/src/main/java/holdproxy/policy/Tally.java
@@ -23,11 +23,6 @@
         counts[what.ordinal()]++;
     }
 
-    /** Since the start. */
-    public long get(Count what) {
-        return counts[what.ordinal()];
-    }
-
     /** All that is not 0 as {@code name=count}, each less what {@code since} had; which then has the same. */
     public String sinceThen(Tally since) {
         StringBuilder text = new StringBuilder();
