Operators' console with check and vars, and the inherited listening socket

Change: package console on an event loop of its own; counters with one writer; LB_FD takes descriptor 0 over by System.inheritedChannel(), which is never closed, since closing it sends standard error to /dev/null.

--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -2,7 +2,7 @@
 
 import holdproxy.input.BadInput;
 import holdproxy.lab.LabCommand;
-import holdproxy.net.Proxy;
+import holdproxy.net.Service;
 import holdproxy.sim.SimHost;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -33,7 +33,7 @@
 
     private static void serve() {
         try {
-            Proxy.serve(System.getenv());
+            Service.serve(System.getenv());
         } catch (BadInput e) {
             System.err.println("holdproxy: " + e.getMessage());
             System.exit(2);
--- /dev/null
+++ b/src/main/java/holdproxy/console/Console.java
@@ -0,0 +1,159 @@
+package holdproxy.console;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Where operators call: one line to a connection, an answer that begins with {@code OK} or {@code ERR}, or
+ * the figures and {@code END}. Runs on an event loop of its own, so that it answers however late the proxy's
+ * runs.
+ */
+public final class Console {
+    /** Descriptors it may hold: callers, one that is turned away, its listener, its selector's. */
+    public static final int DESCRIPTORS = 24;
+    static final int MOST_CALLERS = 16;
+    static final int LONGEST_LINE = 256;
+    /** For its call a caller has so long. */
+    static final int CALL_MS = 5_000;
+    /** And so long to take the answer and end the connection. */
+    private static final int LINGER_MS = 1_000;
+    private static final int BIND_AGAIN_MS = 200;
+    private static final int BACKLOG = 64;
+
+    private final EventLoop loop;
+    private final Operations operations;
+    private final Consumer<String> log;
+    /** Those that have not finished their call, longest first. */
+    private final Set<Channel> waiting = new LinkedHashSet<>();
+    private int callers;
+    private boolean toldOfFailure;
+
+    /** {@code log} takes its lines, on the loop's thread. */
+    public Console(EventLoop loop, Operations operations, Consumer<String> log) {
+        this.loop = loop;
+        this.operations = operations;
+        this.log = log;
+    }
+
+    /**
+     * Listens, trying again for as long as it takes: a proxy serves on without its console, and the process
+     * before this one may hold the address a moment longer. The channel, once it listens.
+     */
+    public void listen(InetSocketAddress address, Consumer<Channel> listening) {
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Caller());
+                }
+            }).bind(address);
+        bound.addListener((ChannelFutureListener) f -> {
+            if (f.isSuccess()) {
+                listening.accept(f.channel());
+                return;
+            }
+            if (!toldOfFailure) {
+                toldOfFailure = true;
+                log.accept("the console cannot listen on " + address + ", trying on: "
+                    + f.cause().getMessage());
+            }
+            loop.schedule(() -> listen(address, listening), BIND_AGAIN_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** One connection. */
+    final class Caller extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean called;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            callers++;
+            if (callers > MOST_CALLERS) {
+                if (waiting.isEmpty()) {
+                    ctx.close(); // all have called and are being answered
+                    return;
+                }
+                waiting.iterator().next().close();
+            }
+            waiting.add(ctx.channel());
+            ctx.executor().schedule(() -> {
+                if (!called) {
+                    answer(ctx, "ERR no call within " + CALL_MS + " ms");
+                }
+            }, CALL_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            callers--;
+            waiting.remove(ctx.channel());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+            if (!called) {
+                call(ctx, line.toString(StandardCharsets.ISO_8859_1).strip());
+            }
+        }
+
+        private void call(ChannelHandlerContext ctx, String line) {
+            String[] words = line.split(" +");
+            if (!line.chars().allMatch(c -> c >= ' ' && c < 0x7f)) {
+                answer(ctx, "ERR the line is no text");
+            } else if (!words[0].equals("check") && !words[0].equals("vars")) {
+                answer(ctx, "ERR unknown call" + (line.isEmpty() ? "" : " " + words[0])
+                    + "; known are check and vars");
+            } else if (words.length != 1) {
+                answer(ctx, "ERR " + words[0] + " takes no argument");
+            } else if (words[0].equals("check")) {
+                answer(ctx, operations.takesClients() ? "OK" : "ERR this process takes no clients");
+            } else {
+                answer(ctx, operations.figures().text() + "END");
+            }
+        }
+
+        /** The answer and the end of the sending; a close with bytes unread would reset it under way. */
+        private void answer(ChannelHandlerContext ctx, String text) {
+            called = true;
+            waiting.remove(ctx.channel());
+            ctx.writeAndFlush(Unpooled.copiedBuffer(text + "\r\n", StandardCharsets.ISO_8859_1))
+                .addListener(f -> {
+                    if (ctx.channel() instanceof SocketChannel s) {
+                        s.shutdownOutput();
+                        ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+                    } else {
+                        ctx.close();
+                    }
+                });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof io.netty.handler.codec.TooLongFrameException && !called) {
+                answer(ctx, "ERR the line is longer than " + LONGEST_LINE + " bytes");
+            } else if (!called) {
+                ctx.close(); // a broken connection ends alone
+            }
+        }
+    }
+}
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -69,9 +69,9 @@
         Slot slot = new Slot();
         slots.add(slot);
         proxy.busy(this);
-        if (refusing && !(message instanceof Command.Fault)) {
+        if (refusing && message instanceof Command c) {
             closing = true;
-            answer(slot, proxy.busy());
+            answer(slot, proxy.shed(c));
         } else if (message instanceof Command c) {
             slot.exchange = proxy.request(this, slot, c);
         } else if (message instanceof Command.Greeting) {
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -20,6 +20,8 @@
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
+    /** Where operators call; null: nowhere. */
+    final InetSocketAddress console;
     final long seed;
     /** File descriptors that the process may hold. */
     final int sockets;
@@ -30,10 +32,11 @@
     final Map<String, Object> known;
 
     private Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-            Map<String, Object> json) {
+            InetSocketAddress console, Map<String, Object> json) {
         this.name = name;
         this.listen = listen;
         this.discovery = discovery;
+        this.console = console;
         seed = seed(text(json, "seed", "the configuration"));
         Object limit = object(json, "limits", "the configuration").get("sockets");
         if (!(limit instanceof Number n) || n.intValue() < 128) {
@@ -74,7 +77,17 @@
         InetSocketAddress discovery = again
             ? address(text(json, "discovery", "the configuration"), "discovery")
             : address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
-        return new Config(name, listen, discovery, json);
+        return new Config(name, listen, discovery, console(env, json), json);
+    }
+
+    /** Older days have neither the variable nor the key. */
+    private static InetSocketAddress console(Map<String, String> env, Map<String, Object> json) {
+        String told = env.getOrDefault("LB_CONSOLE", "").strip();
+        if (!told.isEmpty()) {
+            return address(told, "LB_CONSOLE");
+        }
+        return json.get("console") == null ? null
+            : address(text(json, "console", "the configuration"), "console");
     }
 
     /** The configuration that this text holds, as the file of {@code LB_CONFIG} would. */
@@ -83,7 +96,7 @@
         if (json == null) {
             throw new BadInput("the configuration of " + name + " is not a JSON object");
         }
-        return new Config(name, listen, discovery, json);
+        return new Config(name, listen, discovery, null, json);
     }
 
     private static String variable(Map<String, String> env, String name) {
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -45,7 +45,12 @@
     private void write(Attempt a) {
         long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
         channel.writeAndFlush(a.exchange.command.encode(channel.alloc(), waitUs))
-            .addListener(f -> a.written = f.isSuccess());
+            .addListener(f -> {
+                if (f.isSuccess()) {
+                    a.written = true;
+                    pool.pools.proxy.figures().tries.add(1);
+                }
+            });
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -1,6 +1,6 @@
 package holdproxy.net;
 
-import holdproxy.input.BadInput;
+import holdproxy.console.Figures;
 import holdproxy.policy.Choice;
 import holdproxy.policy.Router;
 import holdproxy.policy.Tally;
@@ -9,11 +9,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -22,7 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -45,12 +41,9 @@
     private static final long OVERDUE_US = 15_000;
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     private static final long DRAIN_OPEN_MS = 500;
-    private static final long DRAIN_MOST_MS = 3_600;
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
     private static final int COUNT_EVERY_MS = 1000;
-    private static final int BIND_TRIES = 30;
-    private static final int BIND_WAIT_MS = 100;
 
     private final Config config;
     private final Time time;
@@ -63,6 +56,7 @@
     private final Router router;
     private final Tally tally;
     private final Tally told = new Tally();
+    private final Figures figures = new Figures();
     private final Map<Long, Exchange> table = new HashMap<>();
     /** In the order of their coming, so that a run in virtual time can be played again. */
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
@@ -80,7 +74,9 @@
     private long heldBytes;
     private long untakenBytes;
     private Channel listener;
-    private boolean draining;
+    private boolean handingOver;
+    private volatile boolean listening;
+    private volatile boolean draining;
 
     Proxy(Config config, EventLoop loop, Time time, Transport transport, Log log) {
         this.config = config;
@@ -95,6 +91,7 @@
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
             names.classes().put(config.settings.classes[i].name, i);
+            figures.of(config.settings.classes[i].name);
         }
         for (int i = 0; i < config.settings.tenants.length; i++) {
             names.tenants().put(config.settings.tenants[i].name, i);
@@ -107,45 +104,6 @@
         tally = choice.tally;
     }
 
-    /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
-    public static void serve(Map<String, String> env) {
-        NettyLog.install(new Log(Time.system()));
-        Config config = Config.load(env);
-        Rehearsal.run(config);
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Proxy proxy = start(config, loop);
-        Hangup.handle(() -> proxy.reload(env));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            proxy.drain(DRAIN_OPEN_MS);
-            Runtime.getRuntime().halt(0);
-        }, "drain"));
-        // last: from here on signals are heeded
-        loop.execute(() -> proxy.log.line("listening on " + proxy.address()));
-    }
-
-    static Proxy start(Config config, EventLoop loop) {
-        Time time = Time.system();
-        try {
-            Proxy proxy = loop.submit(
-                () -> new Proxy(config, loop, time, new Sockets(loop), new Log(time))).get();
-            loop.submit(proxy::begin).get();
-            ChannelFuture bound = proxy.listen().await();
-            for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
-                // after a restart the one before may hold the address a moment longer
-                Thread.sleep(BIND_WAIT_MS);
-                bound = proxy.listen().await();
-            }
-            if (!bound.isSuccess()) {
-                throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
-            }
-            return proxy;
-        } catch (ExecutionException e) {
-            throw new BadInput("cannot start: " + e.getCause().getMessage());
-        } catch (InterruptedException e) {
-            throw new BadInput("interrupted");
-        }
-    }
-
     /**
      * A proxy on this thread's own event loop, listening; whoever runs the loop runs the proxy.
      * {@code log} takes its lines.
@@ -163,17 +121,19 @@
         return table.size();
     }
 
-    /** SIGHUP: of the configuration only discovery's address may change; a bad one changes nothing. */
-    void reload(Map<String, String> env) {
-        try {
-            Config now = Config.reload(env);
-            loop.execute(() -> discovery.moved(now.discovery));
-        } catch (BadInput e) {
-            loop.execute(() -> log.line("the old configuration is kept: " + e.getMessage()));
-        }
+    /** SIGHUP: of the configuration only discovery's address may change. */
+    void taken(Config now) {
+        discovery.moved(now.discovery);
+        figures.configApplied.add(1);
     }
 
-    private void begin() {
+    /** SIGHUP with a bad file, which changes nothing. */
+    void turnedDown(String why) {
+        log.line("the old configuration is kept: " + why);
+        figures.configRejected.add(1);
+    }
+
+    void begin() {
         tickLater();
         countLater();
         discovery.start();
@@ -182,9 +142,10 @@
         }
     }
 
-    private ChannelFuture listen() {
+    ChannelFuture listen() {
         ChannelFuture bound = transport.listen(config.listen, this::handlers);
         listener = bound.channel();
+        bound.addListener(f -> listening = f.isSuccess());
         return bound;
     }
 
@@ -273,7 +234,7 @@
 
     void idle(ClientSession s) {
         idle.add(s);
-        if (draining && listener == null) {
+        if (draining && (listener == null || handingOver)) {
             idle.remove(s);
             s.close();
         }
@@ -294,7 +255,7 @@
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
         if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
                 || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
-            session.answer(slot, busy());
+            session.answer(slot, shed(c));
             return null;
         }
         long now = now();
@@ -304,6 +265,7 @@
         long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - lateness.justNowUs(now);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
+        figures.active.add(1);
         heldBytes += c.valueBytes();
         x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
             TimeUnit.MICROSECONDS);
@@ -333,6 +295,7 @@
 
     private void concluded(Exchange x) {
         x.answered = true;
+        figures.active.add(-1);
         x.overdue.cancel(false);
         settle(x);
     }
@@ -343,7 +306,13 @@
         }
     }
 
-    String busy() {
+    private Figures.Outcomes outcomes(Command c) {
+        return figures.of(config.settings.classes[c.requestClass].name);
+    }
+
+    /** A refusal that the module is not asked about, for want of room. */
+    String shed(Command c) {
+        outcomes(c).shed.add(1);
         log.line("too much is open: refusing");
         Router.Settings s = config.settings;
         return busy(s.retryAfter ? Math.min(DEFAULT_ADVICE_US, s.maxRetryAfterUs) : 0); // it was sent nowhere
@@ -364,6 +333,7 @@
 
     private void answerFailed(Exchange x) {
         concluded(x);
+        outcomes(x.command).errors.add(1);
         x.session.answer(x.slot, "SERVER_ERROR failed");
     }
 
@@ -375,6 +345,7 @@
         x.out--;
         if (outcome == Router.Outcome.OK && !x.answered) {
             concluded(x);
+            outcomes(x.command).ok.add(1);
             x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
         }
         settle(x);
@@ -438,6 +409,7 @@
                 }
             }
         }
+        figures.poolSize.set(listed.size());
     }
 
     private void left(int id, boolean gone) {
@@ -476,6 +448,7 @@
         Exchange x = table.get(id);
         if (x != null && !x.answered) {
             concluded(x);
+            outcomes(x.command).shed.add(1);
             x.session.answer(x.slot, busy(retryAfterUs));
         }
     }
@@ -545,35 +518,32 @@
 
     // ---- the end ----
 
-    /** Does what SIGTERM asks for and waits for its end, but not for long. */
-    void drain(long openMs) {
-        try {
-            if (!end(openMs).await(DRAIN_MOST_MS)) {
-                log.line("ending with requests open");
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** As at SIGTERM; done once every connection has ended. */
     public Future<Void> end() {
         return end(DRAIN_OPEN_MS);
     }
 
-    /** Serves on while new connections still come, then ends each connection after its answers. */
-    private Future<Void> end(long openMs) {
+    /**
+     * Serves on while new connections still come, then ends each connection after its answers. Where another
+     * process takes what comes, nothing more is accepted, and a connection ends right behind an answer: its
+     * client is then least likely to be sending. What idles until the time is over ends then.
+     */
+    Future<Void> end(long openMs) {
         loop.execute(() -> {
             draining = true;
-            log.line("ending: " + table.size() + " requests open");
+            log.line("ending: " + table.size() + " requests open, " + sessions.size() + " connections");
+            handingOver = transport.leaveToOthers(listener);
             loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
         });
         return drained;
     }
 
     private void stopListening() {
-        listener.close();
+        if (!handingOver) {
+            listener.close();
+        }
         listener = null;
+        log.line("ending: " + idle.size() + " idle connections of " + sessions.size());
         for (ClientSession s : List.copyOf(sessions)) {
             s.close();
         }
@@ -585,4 +555,15 @@
             drained.trySuccess(null);
         }
     }
+
+    // ---- what operators read ----
+
+    Figures figures() {
+        return figures;
+    }
+
+    /** Whether clients are taken: from when it listens until it is told to end. On any thread. */
+    boolean takesClients() {
+        return listening && !draining;
+    }
 }
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.function.Supplier;
 
 /** TCP, all of it on one event loop. */
@@ -20,9 +21,12 @@
 
     private final EventLoop loop;
     private final Bootstrap client;
+    private final ServerSocketChannel inherited;
 
-    Sockets(EventLoop loop) {
+    /** {@code inherited}: the listening socket that clients come to; null: one is opened when needed. */
+    Sockets(EventLoop loop, ServerSocketChannel inherited) {
         this.loop = loop;
+        this.inherited = inherited;
         client = new Bootstrap().group(loop)
             .channelFactory(NioSocketChannel::new) // by reflection, a start would pay for it again and again
             .option(ChannelOption.TCP_NODELAY, true);
@@ -41,19 +45,30 @@
 
     @Override
     public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
-        return new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
+        ServerBootstrap server = new ServerBootstrap().group(loop, loop)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
                     ch.pipeline().addLast(handlers.get());
                 }
-            })
+            });
+        if (inherited != null) {
+            return server.channelFactory(() -> new NioServerSocketChannel(inherited)).register();
+        }
+        return server.channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
             .bind(address);
     }
 
+    /** An inherited socket is not closed: the platform would then send the log to nowhere. */
+    @Override
+    public boolean leaveToOthers(Channel listener) {
+        listener.config().setAutoRead(inherited == null);
+        return inherited != null;
+    }
+
     @Override
     public void endSending(Channel channel) {
         ((SocketChannel) channel).shutdownOutput();
--- a/src/test/java/holdproxy/ArchitectureTest.java
+++ b/src/test/java/holdproxy/ArchitectureTest.java
@@ -47,6 +47,12 @@
                 .dependOnClassesThat().resideInAnyPackage("holdproxy.net..", "holdproxy.policy..").check(MAIN);
     }
 
+    @Test
+    void theConsoleKnowsNoOtherPackage() {
+        classes().that().resideInAPackage("holdproxy.console").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("holdproxy.console", "io.netty..", "java..").check(MAIN);
+    }
+
     @Test
     void settingsAreReadWithoutSocketsOrWire() {
         classes().that().resideInAPackage("holdproxy.input").should().onlyDependOnClassesThat()
--- /dev/null
+++ b/src/test/java/holdproxy/console/ConsoleTest.java
@@ -0,0 +1,145 @@
+package holdproxy.console;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What callers get, proper or not, on a clock that the test moves. */
+class ConsoleTest {
+    private final Figures figures = new Figures();
+    private boolean taking = true;
+    private final Console console = new Console(null, new Operations() {
+        @Override
+        public boolean takesClients() {
+            return taking;
+        }
+
+        @Override
+        public Figures figures() {
+            return figures;
+        }
+    }, line -> { });
+
+    private EmbeddedChannel caller() {
+        EmbeddedChannel ch = new EmbeddedChannel(
+            new LineBasedFrameDecoder(Console.LONGEST_LINE, true, true), console.new Caller());
+        ch.freezeTime();
+        return ch;
+    }
+
+    private static void send(EmbeddedChannel caller, String text) {
+        caller.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        caller.runPendingTasks();
+    }
+
+    private static String said(EmbeddedChannel caller) {
+        ByteBuf said = caller.readOutbound();
+        if (said == null) {
+            return null;
+        }
+        String text = said.toString(StandardCharsets.ISO_8859_1);
+        said.release();
+        return text;
+    }
+
+    private String call(String line) {
+        EmbeddedChannel caller = caller();
+        send(caller, line);
+        String answer = said(caller);
+        assertFalse(caller.isActive(), "a connection ends with its answer");
+        return answer;
+    }
+
+    @Test
+    void checkSaysYesOnlyWhileClientsAreTaken() {
+        assertEquals("OK\r\n", call("check\r\n"));
+        assertEquals("OK\r\n", call("check\n"));
+        taking = false;
+        assertTrue(call("check\r\n").startsWith("ERR "));
+    }
+
+    @Test
+    void varsGivesEveryFigureAndThenItsEnd() {
+        figures.of("read").ok.add(812);
+        figures.of("read").shed.add(3);
+        figures.of("write").errors.add(1);
+        figures.active.add(15);
+        figures.active.add(-1);
+        figures.tries.add(900);
+        figures.poolSize.set(8);
+        figures.poolEjected.set(1);
+        figures.configApplied.add(2);
+        assertEquals("""
+            svc.responses.read.ok=812
+            svc.responses.read.shed=3
+            svc.responses.read.errors=0
+            svc.responses.write.ok=0
+            svc.responses.write.shed=0
+            svc.responses.write.errors=1
+            svc.tries=900
+            svc.active=14
+            svc.pool_size=8
+            svc.pool_ejected=1
+            svc.config_applied=2
+            svc.config_rejected=0
+            END
+            """.replace("\n", "\r\n"), call("vars\r\n"));
+    }
+
+    @Test
+    void whatIsNoCallIsToldWhatIsWrong() {
+        assertTrue(call("drain\r\n").startsWith("ERR unknown call drain"));
+        assertTrue(call("\r\n").startsWith("ERR unknown call"));
+        assertTrue(call("check now\r\n").startsWith("ERR check takes no argument"));
+        assertTrue(call("\u0001\u00ff\r\n").startsWith("ERR the line is no text"));
+        assertTrue(call("x".repeat(Console.LONGEST_LINE + 1)).startsWith("ERR the line is longer"));
+    }
+
+    @Test
+    void aCallInPiecesIsOneCallAndOnlyTheFirstIsAnswered() {
+        EmbeddedChannel caller = caller();
+        send(caller, "che");
+        assertNull(said(caller));
+        send(caller, "ck\r\nvars\r\n");
+        assertEquals("OK\r\n", said(caller));
+        assertNull(said(caller));
+    }
+
+    @Test
+    void oneThatFinishesNoCallIsToldSoInTheEnd() {
+        EmbeddedChannel silent = caller();
+        EmbeddedChannel half = caller();
+        send(half, "vars");
+        for (EmbeddedChannel c : List.of(silent, half)) {
+            c.advanceTimeBy(Console.CALL_MS - 1, TimeUnit.MILLISECONDS);
+            c.runPendingTasks();
+            assertTrue(c.isActive());
+            c.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            c.runPendingTasks();
+            assertTrue(said(c).startsWith("ERR no call"));
+            assertFalse(c.isActive());
+        }
+    }
+
+    @Test
+    void callersThatFinishNoCallHoldNoOtherUp() {
+        List<EmbeddedChannel> silent = new ArrayList<>();
+        for (int i = 0; i < 3 * Console.MOST_CALLERS; i++) {
+            silent.add(caller());
+        }
+        assertEquals(Console.MOST_CALLERS, silent.stream().filter(EmbeddedChannel::isActive).count());
+        assertFalse(silent.get(0).isActive());
+        assertEquals("OK\r\n", call("check\r\n"));
+    }
+}
--- /dev/null
+++ b/src/test/java/holdproxy/net/FiguresTest.java
@@ -0,0 +1,73 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.console.Figures;
+import io.netty.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What operators read of a proxy on loopback sockets: each request in exactly one count. */
+@Timeout(60)
+class FiguresTest {
+
+    private static String figures(Fixture f) throws Exception {
+        // counted before the client is answered, on the loop; a turn of it later all of it is there
+        return f.loop.submit(() -> {
+            Figures.Outcomes read = f.proxy.figures().of("lookup");
+            Figures.Outcomes write = f.proxy.figures().of("charge");
+            return "lookup " + read.ok.get() + " " + read.shed.get() + " " + read.errors.get()
+                + " charge " + write.ok.get() + " " + write.shed.get() + " " + write.errors.get()
+                + " tries " + f.proxy.figures().tries.get() + " active " + f.proxy.figures().active.get();
+        }).get();
+    }
+
+    @Test
+    void everyRequestIsCountedOnceByItsOutcomeAndTriesWhenWritten() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            assertEquals(1, f.proxy.figures().poolSize.get());
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            node.line();
+            assertEquals("lookup 0 0 0 charge 0 0 0 tries 1 active 1", figures(f));
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+            client.send(Fixture.write("charge", "c1", 4000));
+            node.line();
+            node.expect("hello");
+            node.reset();
+            client.expect("SERVER_ERROR failed");
+            client.send(Fixture.write("charge", "c2", 0));
+            assertTrue(client.line().startsWith("SERVER_ERROR busy"));
+            client.send("mg k v Oa Pc=nobody,t=acme,d=9\r\n");
+            client.expect("CLIENT_ERROR c, t or d is not known here");
+            assertEquals("lookup 1 0 0 charge 0 1 1 tries 2 active 0", figures(f));
+        }
+    }
+
+    @Test
+    void whatItsClientAbandonsIsActiveNoLonger() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            node.line();
+            client.close();
+            node.expectEnd();
+            assertEquals("lookup 0 0 0 charge 0 0 0 tries 1 active 0", figures(f));
+        }
+    }
+
+    @Test
+    void clientsAreTakenUntilTheEndIsAskedFor() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            assertTrue(f.proxy.takesClients());
+            Future<Void> end = f.proxy.end(10);
+            end.await(5000);
+            assertFalse(f.proxy.takesClients());
+        }
+    }
+}
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -384,21 +385,19 @@
             waiting.send(Fixture.read("a1", 4000));
             Peer node = f.nodes.get(0).next();
             command(node, 4000);
-            Thread end = new Thread(() -> f.proxy.drain(1500));
-            end.start();
+            Future<Void> end = f.proxy.end(1500);
             Peer late = f.client(); // still comes, since the front learns of the end only later
             late.send("mn\r\n");
             late.expect("MN");
             idle.expectEnd();
-            assertTrue(end.isAlive());
+            assertFalse(end.isDone());
             node.send("VA 1 Oa1\r\n1\r\n");
             waiting.expect("VA 1 Oa1", "1");
             waiting.expectEnd();
             late.close();
             idle.close();
             waiting.close();
-            end.join(3000);
-            assertFalse(end.isAlive());
+            assertTrue(end.await(3000));
             ConnectException refused = assertThrows(ConnectException.class, () -> Peer.to(address).close());
             assertTrue(refused.getMessage().contains("refused"));
         }
