Cache nodes left out by operators' calls, kept over an upgrade

Change: the module keeps the set beside the list's states (Router.onLeftOut), ranks none of them, and takes one that is used again for a cold one with nothing learnt; a file per node in TMPDIR tells the next process.

--- a/src/main/java/holdproxy/console/Console.java
+++ b/src/main/java/holdproxy/console/Console.java
@@ -118,11 +118,20 @@
 
         private void call(ChannelHandlerContext ctx, String line) {
             String[] words = line.split(" +");
+            boolean leaveOut = words[0].equals("set-down");
             if (!line.chars().allMatch(c -> c >= ' ' && c < 0x7f)) {
                 answer(ctx, "ERR the line is no text");
+            } else if (leaveOut || words[0].equals("set-up")) {
+                if (words.length != 2) {
+                    answer(ctx, "ERR " + words[0] + " takes the id of one cache node");
+                    return;
+                }
+                begun(ctx);
+                operations.leaveOut(words[1], leaveOut, why -> ctx.executor().execute(() ->
+                    answer(ctx, why == null ? "OK" : "ERR " + why)));
             } else if (!words[0].equals("check") && !words[0].equals("vars")) {
                 answer(ctx, "ERR unknown call" + (line.isEmpty() ? "" : " " + words[0])
-                    + "; known are check and vars");
+                    + "; known are check, vars, set-down ID, set-up ID");
             } else if (words.length != 1) {
                 answer(ctx, "ERR " + words[0] + " takes no argument");
             } else if (words[0].equals("check")) {
@@ -132,10 +141,14 @@
             }
         }
 
-        /** The answer and the end of the sending; a close with bytes unread would reset it under way. */
-        private void answer(ChannelHandlerContext ctx, String text) {
+        private void begun(ChannelHandlerContext ctx) {
             called = true;
             waiting.remove(ctx.channel());
+        }
+
+        /** The answer and the end of the sending; a close with bytes unread would reset it under way. */
+        private void answer(ChannelHandlerContext ctx, String text) {
+            begun(ctx);
             ctx.writeAndFlush(Unpooled.copiedBuffer(text + "\r\n", StandardCharsets.ISO_8859_1))
                 .addListener(f -> {
                     if (ctx.channel() instanceof SocketChannel s) {
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -26,6 +26,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -151,7 +152,7 @@
     }
 
     /** The module's number for a node: from its id alone, so that all proxies rank the nodes alike. */
-    private int number(String id) {
+    int number(String id) {
         Integer known = numbers.get(id);
         if (known != null) {
             return known;
@@ -169,9 +170,16 @@
         return number;
     }
 
-    /** The node is gone for good; ids are new with each machine and would pile up. */
-    void forget(int number) {
-        numbers.remove(names.remove(number));
+    /** The number of a node that a list has named; null where none has, or it is forgotten. */
+    Integer known(String id) {
+        return numbers.get(id);
+    }
+
+    /** The node is gone for good, unless kept; ids are new with each machine and would pile up. */
+    void forget(int number, Set<String> kept) {
+        if (!kept.contains(names.get(number))) {
+            numbers.remove(names.remove(number));
+        }
     }
 
     /** One request to discovery: a watch or a single list. */
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -41,13 +41,22 @@
         idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
     }
 
-    /** The list names this node: it may be sent to, at this address. */
-    void put(int id, String name, InetSocketAddress address) {
+    /** The list names this node: unless operators have left it out it may be sent to, at this address. */
+    void put(int id, String name, InetSocketAddress address, boolean out) {
+        NodePool pool = byId.computeIfAbsent(id, i -> new NodePool(this, name, address));
+        pool.listed(address);
+        if (out) {
+            pool.leave();
+        }
+    }
+
+    /** Operators have left this node out, or use it again. */
+    void leaveOut(int id, boolean out) {
         NodePool pool = byId.get(id);
-        if (pool == null) {
-            byId.put(id, new NodePool(this, name, address));
-        } else {
-            pool.listed(address);
+        if (pool != null && out) {
+            pool.leave();
+        } else if (pool != null) {
+            pool.listed(pool.address);
         }
     }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -54,7 +54,7 @@
     private final NodePools pools;
     private final Discovery discovery;
     private final Router router;
-    private final Tally tally;
+    private final Choice choice;
     private final Tally told = new Tally();
     private final Figures figures = new Figures();
     private final Map<Long, Exchange> table = new HashMap<>();
@@ -66,6 +66,8 @@
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final Set<Integer> listed = new HashSet<>();
+    /** Cache nodes that operators have left out, by their names in the list. */
+    private final Set<String> leftOut = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final Promise<Void> drained;
     private final Lateness lateness;
@@ -99,9 +101,8 @@
         pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING,
             transport);
         discovery = new Discovery(this, config, transport, log);
-        Choice choice = new Choice(config.settings, config.seed, now(), this);
+        choice = new Choice(config.settings, config.seed, now(), this);
         router = choice;
-        tally = choice.tally;
     }
 
     /**
@@ -168,7 +169,7 @@
     /** What was counted, on a line of its own: the logs of a whole fleet can be added up by it. */
     private void countLater() {
         loop.schedule(() -> {
-            String counted = tally.sinceThen(told) + pools.counted();
+            String counted = choice.tally.sinceThen(told) + pools.counted();
             if (!counted.isEmpty()) {
                 log.line("counted:" + counted);
             }
@@ -392,7 +393,7 @@
             nodes[i] = e.node();
             named.add(e.node().id);
             if (e.node().state != Router.NodeState.GONE) {
-                pools.put(e.node().id, e.name(), e.address());
+                pools.put(e.node().id, e.name(), e.address(), leftOut.contains(e.name()));
                 listed.add(e.node().id);
             }
         }
@@ -415,10 +416,44 @@
     private void left(int id, boolean gone) {
         pools.leave(id, gone);
         if (gone && listed.remove(id)) {
-            discovery.forget(id);
+            discovery.forget(id, leftOut);
         }
     }
 
+    // ---- operators ----
+
+    /** Whether operators may name this node: it is in the list, or out already. */
+    boolean knows(String node, boolean out) {
+        return listed.contains(discovery.known(node)) || !out && leftOut.contains(node);
+    }
+
+    /** Leaves a node out, or uses it again as one that was started at {@code atUs}, when the call came. */
+    void leaveOut(String node, boolean out, long atUs) {
+        if (out ? !leftOut.add(node) : !leftOut.remove(node)) {
+            return; // two calls out need one call back
+        }
+        int id = discovery.number(node);
+        log.line("node " + node + (out ? " is left out by operators" : " is used again"));
+        event(() -> router.onLeftOut(now(), id, out, atUs));
+        pools.leaveOut(id, out);
+        if (!out && !listed.contains(id)) {
+            discovery.forget(id, leftOut);
+        }
+    }
+
+    /** What a process before this one was told. */
+    void restore(String node, boolean out, long atUs) {
+        if (!out) {
+            leftOut.add(node); // as it was until then: the return counts
+        }
+        leaveOut(node, out, atUs);
+    }
+
+    /** What only the module knows of the figures. */
+    void refresh() {
+        figures.poolEjected.set(choice.avoided(now()));
+    }
+
     // ---- the module's actions ----
 
     @Override
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -11,24 +11,35 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The process around a proxy: what it inherits at its start, the signals that it heeds, and its console. */
 public final class Service implements Operations {
     /** The longest that it goes on after SIGTERM, which SIGKILL follows after 3.7 s. */
     private static final long DRAIN_MOST_MS = 3_600;
+    /** How often it is looked up what another process was told. */
+    private static final int LOOK_MS = 100;
+    private static final int REFRESH_MS = 200;
+    /** The folder for them in {@code TMPDIR}. */
+    private static final String KEPT = "left-out";
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
 
     private final Proxy proxy;
     private final EventLoop loop;
     private final Log log;
+    private final KeptOut kept;
+    private EventLoop console;
 
-    private Service(Proxy proxy, EventLoop loop, Log log) {
+    private Service(Proxy proxy, EventLoop loop, Log log, KeptOut kept) {
         this.proxy = proxy;
         this.loop = loop;
         this.log = log;
+        this.kept = kept;
     }
 
     /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
@@ -37,10 +48,11 @@
         NettyLog.install(log);
         Config config = Config.load(env);
         ServerSocketChannel inherited = inherited(env);
+        KeptOut kept = kept(config, env, log);
         Rehearsal.run(config);
         EventLoop loop = loop();
-        Proxy proxy = start(config, loop, inherited);
-        Service service = new Service(proxy, loop, log);
+        Proxy proxy = start(config, loop, inherited, kept);
+        Service service = new Service(proxy, loop, log, kept);
         Hangup.handle(() -> reload(proxy, loop, env));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.drain();
@@ -58,12 +70,19 @@
     }
 
     /** A proxy on this loop, once it listens: on the socket that was inherited, or on one of its own. */
-    static Proxy start(Config config, EventLoop loop, ServerSocketChannel inherited) {
+    static Proxy start(Config config, EventLoop loop, ServerSocketChannel inherited, KeptOut kept) {
         Time time = Time.system();
         try {
             Proxy proxy = loop.submit(
                 () -> new Proxy(config, loop, time, new Sockets(loop, inherited), new Log(time))).get();
-            loop.submit(proxy::begin).get();
+            loop.submit(() -> {
+                proxy.begin();
+                if (kept != null) {
+                    // before anything is sent: what the process before this one was told holds here too
+                    kept.all((node, out, at) -> proxy.restore(node, out, proxy.monotonic(at)));
+                }
+                return null;
+            }).get();
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
                 // after a restart the one before may hold the address a moment longer
@@ -81,6 +100,22 @@
         }
     }
 
+    /** Null where nobody calls: then nothing is looked up either. */
+    private static KeptOut kept(Config config, Map<String, String> env, Log log) {
+        if (config.console == null) {
+            return null;
+        }
+        String folder = env.getOrDefault("TMPDIR", "");
+        if (folder.isEmpty()) {
+            log.line("TMPDIR is not set: nodes left out by operators are forgotten with this process");
+        }
+        try {
+            return new KeptOut(folder.isEmpty() ? null : Path.of(folder, KEPT), Time.system());
+        } catch (IOException e) {
+            throw new BadInput("TMPDIR cannot be used: " + e);
+        }
+    }
+
     /**
      * The listening socket that {@code LB_FD} names; null where it names none. Only standard input can be
      * taken over: the platform's way to a socket that it did not open itself.
@@ -105,9 +140,50 @@
     }
 
     private void console(Config config) {
-        EventLoop own = loop();
-        own.execute(() -> new Console(own, this, line -> loop.execute(() -> proxy.log(line)))
-            .listen(config.console, listening -> { }));
+        console = loop();
+        console.execute(() -> {
+            new Console(console, this, line -> loop.execute(() -> proxy.log(line)))
+                .listen(config.console, listening -> { });
+            console.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        });
+        loop.scheduleAtFixedRate(proxy::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** What the process before, or the other one in an upgrade, was told of nodes left out. */
+    private void look() {
+        try {
+            kept.changes((node, out, atUnixMs) ->
+                loop.execute(() -> proxy.leaveOut(node, out, proxy.monotonic(atUnixMs))));
+        } catch (IOException e) {
+            say("which nodes are left out cannot be read: " + e);
+        }
+    }
+
+    private void say(String line) {
+        loop.execute(() -> proxy.log(line));
+    }
+
+    /** The call holds once it is kept for the next process and the module has it; else nothing of it does. */
+    @Override
+    public void leaveOut(String node, boolean out, Consumer<String> answer) {
+        loop.execute(() -> {
+            if (!proxy.knows(node, out)) {
+                answer.accept("no cache node is called " + Config.shown(node));
+                return;
+            }
+            console.execute(() -> {
+                try {
+                    long atUnixMs = kept.keep(node, out);
+                    loop.execute(() -> {
+                        proxy.leaveOut(node, out, proxy.monotonic(atUnixMs));
+                        answer.accept(null);
+                    });
+                } catch (IOException e) {
+                    say("node " + node + " could not be kept as left out or used: " + e);
+                    answer.accept("cannot be kept: " + e.getClass().getSimpleName());
+                }
+            });
+        });
     }
 
     /** What SIGHUP asks for: the file as it is now, or nothing of it. On any thread. */
--- a/src/main/java/holdproxy/net/Time.java
+++ b/src/main/java/holdproxy/net/Time.java
@@ -29,6 +29,11 @@
         return (ticker.nanoTime() - originNs) / 1000;
     }
 
+    /** Unix time by that clock and the one reading of the wall clock, in milliseconds. */
+    long unixMs() {
+        return (unixAtOriginUs + us()) / 1000;
+    }
+
     /** A Unix time on that clock; from one reading, so that a start stays the same number. */
     long monotonicUs(long unixMs) {
         return unixMs * 1000 - unixAtOriginUs;
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -55,6 +55,8 @@
     static final double NODE_PD_SHARE = 0.2;
     // What most nodes fail alike is no reason to pass one over: this part of the usual chance is let off.
     static final double USUAL_PART = 0.7;
+    // For people who count: passed over more often than not, a node is avoided.
+    static final double AVOIDED_FROM = 0.5;
     // Queues show in answers that took over this part of their aim: crowded. So many of them tell it surely.
     static final double CROWDED_PART = 0.5;
     static final double CROWDED_SURE = 0.15;
@@ -169,6 +171,16 @@
         fleet.apply(kind, nodes, count);
     }
 
+    @Override
+    public void onLeftOut(long now, int node, boolean out, long at) {
+        fleet.leaveOut(node, out, at);
+    }
+
+    /** Listed nodes that are avoided: left out by operators, down, or passed over more often than not. */
+    public int avoided(long now) {
+        return fleet.avoided(USUAL_PART * usualNode, AVOIDED_FROM, now);
+    }
+
     // ---- arrival: the tenant's chance ----
 
     @Override
@@ -286,12 +298,13 @@
      * warming up can do. Hot keys and further attempts stay away: they would come on top of that budget.
      */
     private boolean admits(Target t, Open r, long key, long now) {
-        if (t.startedUs == Long.MIN_VALUE || now - t.startedUs >= set.coldUs) {
+        long since = t.coldSince();
+        if (since == Long.MIN_VALUE || now - since >= set.coldUs) {
             return true;
         } else if (r.hot || r.attempts > 0) {
             return false;
         }
-        double warm = Math.max(0, (double) (now - t.startedUs) / set.coldUs);
+        double warm = Math.max(0, (double) (now - since) / set.coldUs);
         double capacity = set.coldFrom + (1 - set.coldFrom) * warm;
         double part = COLD_PART + (1 - COLD_PART) * warm;
         boolean admitted = Blue.unit(Blue.mix(key + 31 * Blue.mix(t.id))) < capacity * part / load(now);
--- a/src/main/java/holdproxy/policy/Fleet.java
+++ b/src/main/java/holdproxy/policy/Fleet.java
@@ -1,12 +1,16 @@
 package holdproxy.policy;
 
 import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Set;
 
 /** The node list as last told, without what is gone and has nothing out; and flat arrays of what is ready. */
 final class Fleet {
     private final LongMap<Target> byId = new LongMap<>();
     private final boolean aside;
     private final int originKind;
+    /** Nodes that operators have left out, in the list or not. */
+    private final Set<Integer> leftOut = new HashSet<>();
     private Target[] known = new Target[16];
     private int knownCount;
     Target[] ready = new Target[0];
@@ -62,6 +66,33 @@
         t.startedUs = n.startedUs;
     }
 
+    /** By operators' call; it holds whatever the lists say, and until the call back. */
+    void leaveOut(int id, boolean out, long at) {
+        Target t = byId.get(id & 0xffffffffL);
+        if (out) {
+            leftOut.add(id);
+        } else {
+            leftOut.remove(id);
+            if (t != null) {
+                t.back(at);
+            }
+        }
+        arrange();
+    }
+
+    /** Listed nodes that nothing is sent to, or that are passed over by more than this beyond the usual. */
+    int avoided(double usual, double most, long now) {
+        int count = 0;
+        for (int i = 0; i < knownCount; i++) {
+            Target t = known[i];
+            boolean listed = t.state != Router.NodeState.GONE;
+            if (listed && (leftOut.contains(t.id) || t.down(now) || t.chance.get(now) - usual > most)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     int known() {
         return knownCount;
     }
@@ -90,7 +121,7 @@
         int originCount = 0;
         for (int i = 0; i < knownCount; i++) {
             Target t = known[i];
-            if (t.state != Router.NodeState.READY) {
+            if (t.state != Router.NodeState.READY || leftOut.contains(t.id)) {
                 continue;
             }
             if (isOrigin(t)) {
--- a/src/main/java/holdproxy/policy/Router.java
+++ b/src/main/java/holdproxy/policy/Router.java
@@ -256,6 +256,12 @@
     /** First event: the list as last known, possibly out of date. */
     void onNodes(long nowUs, ListKind kind, Node[] nodes, int count, Actions out);
 
+    /**
+     * Operators leave a node out, or use it again: whatever the lists say, it is sent nothing in between. The
+     * node may be unknown yet. Used again it counts as started at {@code atUs}, when the call came.
+     */
+    void onLeftOut(long nowUs, int node, boolean out, long atUs);
+
     void onRequest(long nowUs, Request request, Actions out);
 
     /** {@code concluded}: the client has its answer already, from this outcome or before it. */
--- a/src/main/java/holdproxy/policy/Target.java
+++ b/src/main/java/holdproxy/policy/Target.java
@@ -16,6 +16,8 @@
     double weight;
     Router.NodeState state;
     long startedUs = Long.MIN_VALUE;
+    /** When operators used it again after having left it out; it may have been started anew meanwhile. */
+    private long backAt = Long.MIN_VALUE;
     /** Dials that failed running, and when the next one may be tried. */
     private int failedDials;
     private long downUntil = Long.MIN_VALUE;
@@ -39,6 +41,20 @@
         failedDials++;
     }
 
+    /** Operators use it again: nothing that was learnt before holds. */
+    void back(long at) {
+        backAt = at;
+        up();
+        chance.set(0, at);
+        busy.set(0, at);
+        idleSince = Long.MIN_VALUE;
+    }
+
+    /** Since when it warms up; MIN_VALUE: long ago. */
+    long coldSince() {
+        return Math.max(startedUs, backAt);
+    }
+
     /** It answered, or its process is a new one. */
     void up() {
         failedDials = 0;
--- a/src/test/java/holdproxy/console/ConsoleTest.java
+++ b/src/test/java/holdproxy/console/ConsoleTest.java
@@ -13,11 +13,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** What callers get, proper or not, on a clock that the test moves. */
 class ConsoleTest {
     private final Figures figures = new Figures();
+    private final List<String> asked = new ArrayList<>();
+    private final List<Consumer<String>> answers = new ArrayList<>();
     private boolean taking = true;
     private final Console console = new Console(null, new Operations() {
         @Override
@@ -29,6 +32,12 @@
         public Figures figures() {
             return figures;
         }
+
+        @Override
+        public void leaveOut(String node, boolean out, Consumer<String> answer) {
+            asked.add(node + " " + out);
+            answers.add(answer);
+        }
     }, line -> { });
 
     private EmbeddedChannel caller() {
@@ -97,10 +106,29 @@
             """.replace("\n", "\r\n"), call("vars\r\n"));
     }
 
+    @Test
+    void aCallThatChangesSomethingIsAnsweredOnceItHoldsAndNotBefore() {
+        EmbeddedChannel down = caller();
+        EmbeddedChannel up = caller();
+        send(down, "set-down s-1\r\n");
+        send(up, "set-up s-2\r\n");
+        assertEquals(List.of("s-1 true", "s-2 false"), asked);
+        assertNull(said(down));
+        answers.get(1).accept("no cache node is called s-2");
+        answers.get(0).accept(null);
+        down.runPendingTasks();
+        up.runPendingTasks();
+        assertEquals("OK\r\n", said(down));
+        assertEquals("ERR no cache node is called s-2\r\n", said(up));
+    }
+
     @Test
     void whatIsNoCallIsToldWhatIsWrong() {
         assertTrue(call("drain\r\n").startsWith("ERR unknown call drain"));
         assertTrue(call("\r\n").startsWith("ERR unknown call"));
+        assertTrue(call("set-down\r\n").startsWith("ERR set-down takes the id of one"));
+        assertTrue(call("set-up a b\r\n").startsWith("ERR set-up takes the id of one"));
+        assertEquals(List.of(), asked);
         assertTrue(call("check now\r\n").startsWith("ERR check takes no argument"));
         assertTrue(call("\u0001\u00ff\r\n").startsWith("ERR the line is no text"));
         assertTrue(call("x".repeat(Console.LONGEST_LINE + 1)).startsWith("ERR the line is longer"));
--- a/src/test/java/holdproxy/net/Fixture.java
+++ b/src/test/java/holdproxy/net/Fixture.java
@@ -53,7 +53,7 @@
         Path file = Files.createTempFile("config", ".json");
         Files.writeString(file, json(list(1, true, entries.toArray(String[]::new)), change.apply(SETTINGS), sockets));
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        proxy = Service.start(Config.load(env(file, discovery.address())), loop, null);
+        proxy = Service.start(Config.load(env(file, discovery.address())), loop, null, null);
         Files.delete(file);
     }
 
--- /dev/null
+++ b/src/test/java/holdproxy/net/KeptOutTest.java
@@ -0,0 +1,107 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What operators' calls leave behind for the next process, and for the other one of two. */
+class KeptOutTest {
+    @TempDir
+    Path folder;
+    private final MockTicker ticker = Ticker.newMockTicker();
+    private final Time time = new Time(ticker, () -> 1_000_000);
+    private final List<String> changes = new ArrayList<>();
+
+    private KeptOut process() throws IOException {
+        return new KeptOut(folder.resolve("left-out"), time);
+    }
+
+    private List<String> told() {
+        List<String> told = List.copyOf(changes);
+        changes.clear();
+        return told;
+    }
+
+    private void change(String node, boolean out, long at) {
+        changes.add(node + (out ? " out" : " back"));
+    }
+
+    @Test
+    void theNextProcessKnowsWhatIsOutAndWhatHasJustComeBack() throws Exception {
+        KeptOut first = process();
+        first.keep("s-1", true);
+        first.keep("s-2/..", true);
+        first.keep("s-3", true);
+        first.keep("s-3", false);
+        first.keep("s-4", false);
+        // the file system's clock is not the test's: the return came just now by the latter
+        Files.setLastModifiedTime(folder.resolve("left-out/back-s-3"), FileTime.fromMillis(time.unixMs()));
+        process().all(this::change);
+        assertEquals(List.of("s-1 out", "s-2/.. out", "s-3 back"), told().stream().sorted().toList());
+        ticker.advance(1, TimeUnit.HOURS);
+        process().all(this::change);
+        assertEquals(List.of("s-1 out", "s-2/.. out"), told().stream().sorted().toList());
+    }
+
+    @Test
+    void aReturnIsToldWithTheTimeOfItsCall() throws Exception {
+        KeptOut first = process();
+        first.keep("s-1", true);
+        first.keep("s-1", false);
+        Files.setLastModifiedTime(folder.resolve("left-out/back-s-1"), FileTime.fromMillis(999_000));
+        List<Long> at = new ArrayList<>();
+        process().all((node, out, when) -> at.add(when));
+        assertEquals(List.of(999_000L), at);
+    }
+
+    @Test
+    void aCallToOneOfTwoProcessesIsSeenByTheOtherOnce() throws Exception {
+        KeptOut old = process();
+        KeptOut fresh = process();
+        fresh.keep("s-1", true);
+        fresh.keep("s-1", true);
+        old.changes(this::change);
+        old.changes(this::change);
+        assertEquals(List.of("s-1 out"), told());
+        old.keep("s-1", false);
+        old.changes(this::change);
+        assertEquals(List.of(), told(), "it was told itself");
+        fresh.changes(this::change);
+        fresh.changes(this::change);
+        assertEquals(List.of("s-1 back"), told());
+    }
+
+    @Test
+    void whatCannotBeReadOrKeptChangesNothing() throws Exception {
+        KeptOut process = process();
+        process.keep("s-1", true);
+        Path kept = folder.resolve("left-out");
+        Files.move(kept, folder.resolve("away"));
+        assertThrows(IOException.class, () -> process.changes(this::change));
+        assertThrows(IOException.class, () -> process.keep("s-2", true));
+        assertEquals(List.of(), told());
+        Files.move(folder.resolve("away"), kept);
+        process.changes(this::change);
+        assertEquals(List.of(), told(), "s-1 is out as before, s-2 was never");
+        assertThrows(IOException.class, () -> process.keep("s".repeat(300), true));
+    }
+
+    @Test
+    void withoutAFolderItIsKnownToThisProcessAlone() throws Exception {
+        KeptOut process = new KeptOut(null, time);
+        process.keep("s-1", true);
+        process.changes(this::change);
+        assertEquals(List.of(), told());
+    }
+}
--- /dev/null
+++ b/src/test/java/holdproxy/net/LeftOutTest.java
@@ -0,0 +1,86 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Operators' calls on a proxy with real sockets: connections and the ids that are known. */
+@Timeout(60)
+class LeftOutTest {
+    private static void leaveOut(Fixture f, String node, boolean out) throws Exception {
+        f.loop.submit(() -> f.proxy.leaveOut(node, out, f.proxy.now())).get();
+    }
+
+    private static boolean knows(Fixture f, String node, boolean out) throws Exception {
+        return f.loop.submit(() -> f.proxy.knows(node, out)).get();
+    }
+
+    @Test
+    void itsIdleConnectionsEndAndItIsSentNothingUntilItIsUsedAgain() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            node.line();
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+            leaveOut(f, "s-0", true);
+            node.expectEnd();
+            client.send(Fixture.read("a2", 4000));
+            assertTrue(client.line().startsWith("SERVER_ERROR busy"));
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(2, true, f.entry(0, "SERVING")));
+            Fixture.chunk(watch, "{}"); // ends the watch, behind the list
+            watch.expectEnd();
+            client.send(Fixture.read("a3", 4000));
+            assertTrue(client.line().startsWith("SERVER_ERROR busy"), "the list does not end it");
+            assertEquals(1, f.nodes.get(0).count());
+            f.loop.submit(() -> f.proxy.refresh()).get();
+            assertEquals(1, f.proxy.figures().poolEjected.get());
+            leaveOut(f, "s-0", false);
+            // cold at first: of a hundred keys some go there
+            for (int i = 0; i < 100; i++) {
+                String key = Integer.toHexString(i * 7919 + 1);
+                client.send("mg " + key + " v Ob" + i + " Pc=lookup,t=acme,d=4000\r\n");
+            }
+            f.nodes.get(0).next();
+        }
+    }
+
+    @Test
+    void anAnswerThatWasUnderWayIsServedAndItsConnectionEndsThen() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            node.line();
+            leaveOut(f, "s-0", true);
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+            node.expectEnd();
+        }
+    }
+
+    @Test
+    void onlyIdsOfTheListAreKnownAndThoseThatAreOutMayComeBack() throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            assertTrue(knows(f, "s-0", true));
+            assertTrue(knows(f, "s-0", false));
+            assertFalse(knows(f, "s-7", true));
+            assertFalse(knows(f, "s-7", false));
+            leaveOut(f, "s-0", true);
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(2, true, f.entry(1, "SERVING")));
+            Fixture.chunk(watch, "{}");
+            watch.expectEnd();
+            assertFalse(knows(f, "s-0", true), "it has left the list");
+            assertTrue(knows(f, "s-0", false), "but is out");
+            leaveOut(f, "s-0", false);
+            assertFalse(knows(f, "s-0", false));
+            assertEquals(1, f.proxy.figures().poolSize.get());
+        }
+    }
+}
