Settings taken whole at SIGHUP, classes and attempts among them, or nothing of the file

Change: a file is compared with the one that serves (what a key needs stands there), checked, and swapped at one point on the loop; open requests hold their class and attempts; dropped classes are served 5 s more; tenants keep their places, so that what was learnt stays. Measured: unit tests alone; 23 broken files leave everything as it was.

--- /dev/null
+++ b/src/main/java/holdproxy/input/Shape.java
@@ -0,0 +1,48 @@
+package holdproxy.input;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Whether a file that is to replace another one has all that the other has, and of the same kind: what a file
+ * needs stands in the one that serves already. Values are those of JSON.
+ */
+public final class Shape {
+    private Shape() {
+    }
+
+    /** Throws a {@link BadInput} that names the first key of {@code inUse} which {@code next} lacks. */
+    public static void check(Map<String, ?> inUse, Map<String, ?> next) {
+        check("", inUse, next);
+    }
+
+    private static void check(String path, Object inUse, Object next) {
+        if (inUse == null) {
+            return;
+        }
+        if (next == null) {
+            throw new BadInput(path + " is missing");
+        }
+        if (inUse instanceof Map<?, ?> map) {
+            Map<?, ?> other = next instanceof Map<?, ?> m ? m : wrong(path, "an object");
+            String before = path.isEmpty() ? "" : path + ".";
+            map.forEach((key, value) -> check(before + key, value, other.get(key)));
+        } else if (inUse instanceof List<?> list) {
+            List<?> other = next instanceof List<?> l ? l : wrong(path, "a list");
+            // each entry is to have what the entries that serve have
+            for (int i = 0; i < other.size() && !list.isEmpty(); i++) {
+                check(path + "." + i, list.get(0), other.get(i));
+            }
+        } else if (inUse instanceof Number && !(next instanceof Number)) {
+            wrong(path, "a number");
+        } else if (inUse instanceof Boolean && !(next instanceof Boolean)) {
+            wrong(path, "true or false");
+        } else if (inUse instanceof String && !(next instanceof String)) {
+            wrong(path, "text");
+        }
+    }
+
+    private static <T> T wrong(String path, String wanted) {
+        throw new BadInput(path + " is not " + wanted);
+    }
+}
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -15,7 +16,7 @@
 
     final boolean write;
     final String opaque;
-    final int requestClass;
+    final String requestClass;
     final int tenant;
     final long key;
     /**
@@ -40,8 +41,24 @@
         }
     }
 
-    /** Indexes of the classes and tenants of the settings by their names. */
+    /** Indexes of the classes and tenants of the settings by their names; they change with the settings. */
     record Names(Map<String, Integer> classes, Map<String, Integer> tenants) {
+        Names() {
+            this(new HashMap<>(), new HashMap<>());
+        }
+
+        void set(Router.Settings settings) {
+            classes.clear();
+            for (int i = 0; i < settings.classes.length; i++) {
+                classes.put(settings.classes[i].name, i);
+            }
+            tenants.clear();
+            for (int i = 0; i < settings.tenants.length; i++) {
+                if (!settings.tenants[i].name.isEmpty()) {
+                    tenants.put(settings.tenants[i].name, i);
+                }
+            }
+        }
     }
 
     Command(String line, String[] tokens, boolean write, Names names) throws Bad {
@@ -64,7 +81,7 @@
         }
         opaque = id;
         key = key(keyText);
-        int type = -1;
+        String type = "";
         int who = names.tenants.isEmpty() ? 0 : -1;
         int wait = NOT_STATED;
         double hint = 0;
@@ -74,7 +91,7 @@
             int eq = field.indexOf('=');
             String text = field.substring(eq + 1);
             switch (eq < 0 ? "" : field.substring(0, eq)) {
-                case "c" -> type = names.classes.getOrDefault(text, -1);
+                case "c" -> type = text;
                 case "t" -> who = names.tenants.getOrDefault(text, who);
                 case "d" -> wait = MetaDecoder.number(text);
                 case "h" -> hint = figure(text);
@@ -83,7 +100,7 @@
                 default -> { } // passed on unread
             }
         }
-        if (type < 0 || who < 0 || wait < NOT_STATED) {
+        if (!names.classes.containsKey(type) || who < 0 || wait < NOT_STATED) {
             throw new Bad("c, t or d is not known here");
         }
         requestClass = type;
@@ -140,7 +157,6 @@
     }
 
     void fill(Router.Request q) {
-        q.requestClass = requestClass;
         q.tenant = tenant;
         q.key = key;
         q.costUs = costUs;
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -4,6 +4,7 @@
 import holdproxy.input.BadInput;
 import holdproxy.policy.Router;
 import holdproxy.input.SettingsText;
+import holdproxy.input.Shape;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -30,6 +31,7 @@
     final List<?> kinds;
     /** The list as last had, in discovery's form. */
     final Map<String, Object> known;
+    private final Map<String, Object> json;
 
     private Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
             InetSocketAddress console, Map<String, Object> json) {
@@ -37,6 +39,7 @@
         this.listen = listen;
         this.discovery = discovery;
         this.console = console;
+        this.json = json;
         seed = seed(text(json, "seed", "the configuration"));
         Object limit = object(json, "limits", "the configuration").get("sockets");
         if (!(limit instanceof Number n) || n.intValue() < 128) {
@@ -62,22 +65,25 @@
     }
 
     static Config load(Map<String, String> env) {
-        return read(env, false);
-    }
-
-    /** The file as it is now; where discovery is stands only there: our variables stay as they were. */
-    static Config reload(Map<String, String> env) {
-        return read(env, true);
-    }
-
-    private static Config read(Map<String, String> env, boolean again) {
-        String name = variable(env, "LB_NAME");
-        InetSocketAddress listen = address(variable(env, "LB_LISTEN"), "LB_LISTEN");
         Map<String, Object> json = read(variable(env, "LB_CONFIG"));
-        InetSocketAddress discovery = again
-            ? address(text(json, "discovery", "the configuration"), "discovery")
-            : address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
-        return new Config(name, listen, discovery, console(env, json), json);
+        return new Config(variable(env, "LB_NAME"), address(variable(env, "LB_LISTEN"), "LB_LISTEN"),
+            address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY"), console(env, json), json);
+    }
+
+    /**
+     * The file as it is now, to replace this configuration in a running proxy: whole, and with nothing in it
+     * that such a proxy could not take. Where discovery is stands only there: our variables stay.
+     */
+    Config reload(Map<String, String> env) {
+        Map<String, Object> now = read(variable(env, "LB_CONFIG"));
+        Map<String, Object> served = new HashMap<>(json);
+        // the list of nodes comes from discovery; what it looks like is for a start to check
+        served.replace("known", Map.of());
+        Shape.check(served, now);
+        Config next = new Config(name, listen,
+            address(text(now, "discovery", "the configuration"), "discovery"), console, now);
+        Retuning.check(settings, next.settings);
+        return next;
     }
 
     /** Older days have neither the variable nor the key. */
--- a/src/main/java/holdproxy/net/Exchange.java
+++ b/src/main/java/holdproxy/net/Exchange.java
@@ -11,16 +11,20 @@
     final ClientSession session;
     final ClientSession.Slot slot;
     final long dueUs;
+    /** As the settings had it when it came. */
+    final int maxAttempts;
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean answered;
     Future<?> overdue;
 
-    Exchange(long id, Command command, ClientSession session, ClientSession.Slot slot, long dueUs) {
+    Exchange(long id, Command command, ClientSession session, ClientSession.Slot slot, long dueUs,
+            int maxAttempts) {
         this.id = id;
         this.command = command;
         this.session = session;
         this.slot = slot;
         this.dueUs = dueUs;
+        this.maxAttempts = maxAttempts;
     }
 }
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import holdproxy.policy.Router;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -14,12 +15,12 @@
 
     final Proxy proxy;
     final Log log;
-    final int streams;
-    final long idleUs;
+    int streams;
+    long idleUs;
     private final int most;
     private final EventLoop loop;
     private final Transport transport;
-    private final int dialMs;
+    private int dialMs;
     private final Map<Integer, NodePool> byId = new HashMap<>();
     private int open;
     private int dials;
@@ -32,13 +33,18 @@
         this.most = most;
         this.loop = loop;
         this.transport = transport;
+        retune(config.settings);
+    }
+
+    /** What the settings say of connections, for those that are made or become idle from here on. */
+    void retune(Router.Settings settings) {
         // drains: what waits for a connection must be written within the grace of a change told meanwhile
-        long dialUs = config.settings.dialTimeoutUs > 0 ? config.settings.dialTimeoutUs : 1_000_000;
-        long grace = config.settings.drainGraceUs;
+        long dialUs = settings.dialTimeoutUs > 0 ? settings.dialTimeoutUs : 1_000_000;
+        long grace = settings.drainGraceUs;
         dialMs = (int) Math.max(1, (grace > 0 ? Math.min(dialUs, grace / 2) : dialUs) / 1000);
         // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
-        streams = config.settings.secondCopies ? config.settings.streamsPerConnection : 1;
-        idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
+        streams = settings.secondCopies ? settings.streamsPerConnection : 1;
+        idleUs = settings.idleCloseUs - settings.idleCloseUs / IDLE_SHARE;
     }
 
     /** The list names this node: unless operators have left it out it may be sent to, at this address. */
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -14,7 +14,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,16 +43,21 @@
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
     private static final int COUNT_EVERY_MS = 1000;
+    /** For so long a class that new settings have dropped is still served: its requests were under way. */
+    private static final int DROPPED_MS = 5_000;
 
     private final Config config;
+    private Router.Settings settings;
+    /** The classes of the latest settings, without those that they dropped. */
+    private Router.RequestClass[] kept;
     private final Time time;
     private final Transport transport;
     private final Log log;
     private final EventLoop loop;
-    private final Command.Names names;
+    private final Command.Names names = new Command.Names();
     private final NodePools pools;
     private final Discovery discovery;
-    private final Router router;
+    final Router router;
     private final Choice choice;
     private final Tally told = new Tally();
     private final Figures figures = new Figures();
@@ -65,9 +69,7 @@
     private final int mostSessions;
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
-    private final Set<Integer> listed = new HashSet<>();
-    /** Cache nodes that operators have left out, by their names in the list. */
-    private final Set<String> leftOut = new HashSet<>();
+    private final Members members;
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final Promise<Void> drained;
     private final Lateness lateness;
@@ -90,17 +92,15 @@
         drained = loop.newPromise();
         int left = config.sockets - OWN_DESCRIPTORS;
         mostSessions = left / 2;
-        names = new Command.Names(new HashMap<>(), new HashMap<>());
-        for (int i = 0; i < config.settings.classes.length; i++) {
-            names.classes().put(config.settings.classes[i].name, i);
-            figures.of(config.settings.classes[i].name);
-        }
-        for (int i = 0; i < config.settings.tenants.length; i++) {
-            names.tenants().put(config.settings.tenants[i].name, i);
+        settings = config.settings;
+        names.set(settings);
+        for (Router.RequestClass c : settings.classes) {
+            figures.of(c.name); // there is a figure before there is a request
         }
         pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING,
             transport);
         discovery = new Discovery(this, config, transport, log);
+        members = new Members(this, pools, discovery, log);
         choice = new Choice(config.settings, config.seed, now(), this);
         router = choice;
     }
@@ -122,10 +122,38 @@
         return table.size();
     }
 
-    /** SIGHUP: of the configuration only discovery's address may change. */
+    /** SIGHUP: the settings and discovery's address are those of this file from here on. */
     void taken(Config now) {
         discovery.moved(now.discovery);
+        Router.RequestClass[] classes = now.settings.classes;
+        now.settings.tenants = Retuning.tenants(settings.tenants, now.settings.tenants);
+        now.settings.classes = Retuning.withDropped(settings.classes, classes);
+        retune(now.settings);
         figures.configApplied.add(1);
+        log.line("settings taken: " + classes.length + " classes, "
+            + (settings.classes.length - classes.length) + " dropped, attempts " + settings.maxAttempts);
+        kept = classes;
+        loop.schedule(() -> {
+            if (kept == classes) {
+                forgetDropped();
+            }
+        }, DROPPED_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Serves only the classes that the latest settings name. */
+    void forgetDropped() {
+        settings.classes = kept;
+        retune(settings);
+    }
+
+    private void retune(Router.Settings next) {
+        settings = next;
+        names.set(next);
+        for (Router.RequestClass c : next.classes) {
+            figures.of(c.name);
+        }
+        pools.retune(next);
+        event(() -> router.onSettings(now(), next));
     }
 
     /** SIGHUP with a bad file, which changes nothing. */
@@ -138,7 +166,7 @@
         tickLater();
         countLater();
         discovery.start();
-        if (!config.settings.askForNodes) {
+        if (!settings.askForNodes) {
             discovery.watch();
         }
     }
@@ -192,7 +220,7 @@
     }
 
     /** The module's calls do not nest: what its actions bring about at once is delivered after its return. */
-    private void event(Runnable call) {
+    void event(Runnable call) {
         events.add(call);
         if (inEvent) {
             return;
@@ -254,17 +282,22 @@
     // ---- requests ----
 
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
-        if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
+        if (table.size() >= Math.min(MOST_OPEN, settings.maxOpen)
                 || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
             session.answer(slot, shed(c));
             return null;
         }
+        Integer type = names.classes().get(c.requestClass);
+        if (type == null) {
+            session.answer(slot, "CLIENT_ERROR c is not known here any longer");
+            return null;
+        }
         long now = now();
-        long classUs = config.settings.classes[c.requestClass].deadlineUs;
+        long classUs = settings.classes[type].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
         long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - lateness.justNowUs(now);
-        Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
+        Exchange x = new Exchange(nextId++, c, session, slot, dueUs, settings.maxAttempts);
         table.put(x.id, x);
         figures.active.add(1);
         heldBytes += c.valueBytes();
@@ -272,6 +305,7 @@
             TimeUnit.MICROSECONDS);
         event(() -> {
             c.fill(request);
+            request.requestClass = type;
             request.id = x.id;
             request.dueUs = x.dueUs;
             router.onRequest(now(), request, this);
@@ -308,15 +342,14 @@
     }
 
     private Figures.Outcomes outcomes(Command c) {
-        return figures.of(config.settings.classes[c.requestClass].name);
+        return figures.of(c.requestClass);
     }
 
     /** A refusal that the module is not asked about, for want of room. */
     String shed(Command c) {
         outcomes(c).shed.add(1);
         log.line("too much is open: refusing");
-        Router.Settings s = config.settings;
-        return busy(s.retryAfter ? Math.min(DEFAULT_ADVICE_US, s.maxRetryAfterUs) : 0); // it was sent nowhere
+        return busy(settings.retryAfter ? Math.min(DEFAULT_ADVICE_US, settings.maxRetryAfterUs) : 0);
     }
 
     /** Bytes of answers that clients have not taken yet. */
@@ -386,67 +419,11 @@
     // ---- the node list ----
 
     void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
-        Router.Node[] nodes = new Router.Node[entries.size()];
-        Set<Integer> named = new HashSet<>();
-        for (int i = 0; i < nodes.length; i++) {
-            Discovery.Entry e = entries.get(i);
-            nodes[i] = e.node();
-            named.add(e.node().id);
-            if (e.node().state != Router.NodeState.GONE) {
-                pools.put(e.node().id, e.name(), e.address(), leftOut.contains(e.name()));
-                listed.add(e.node().id);
-            }
-        }
-        event(() -> router.onNodes(now(), kind, nodes, nodes.length, this));
-        for (Router.Node n : nodes) {
-            if (n.state != Router.NodeState.READY) {
-                left(n.id, n.state == Router.NodeState.GONE);
-            }
-        }
-        if (kind == Router.ListKind.FULL || kind == Router.ListKind.CACHED) {
-            for (Integer id : List.copyOf(listed)) {
-                if (!named.contains(id)) {
-                    left(id, true);
-                }
-            }
-        }
-        figures.poolSize.set(listed.size());
+        members.told(kind, entries);
     }
 
-    private void left(int id, boolean gone) {
-        pools.leave(id, gone);
-        if (gone && listed.remove(id)) {
-            discovery.forget(id, leftOut);
-        }
-    }
-
-    // ---- operators ----
-
-    /** Whether operators may name this node: it is in the list, or out already. */
-    boolean knows(String node, boolean out) {
-        return listed.contains(discovery.known(node)) || !out && leftOut.contains(node);
-    }
-
-    /** Leaves a node out, or uses it again as one that was started at {@code atUs}, when the call came. */
-    void leaveOut(String node, boolean out, long atUs) {
-        if (out ? !leftOut.add(node) : !leftOut.remove(node)) {
-            return; // two calls out need one call back
-        }
-        int id = discovery.number(node);
-        log.line("node " + node + (out ? " is left out by operators" : " is used again"));
-        event(() -> router.onLeftOut(now(), id, out, atUs));
-        pools.leaveOut(id, out);
-        if (!out && !listed.contains(id)) {
-            discovery.forget(id, leftOut);
-        }
-    }
-
-    /** What a process before this one was told. */
-    void restore(String node, boolean out, long atUs) {
-        if (!out) {
-            leftOut.add(node); // as it was until then: the return counts
-        }
-        leaveOut(node, out, atUs);
+    Members members() {
+        return members;
     }
 
     /** What only the module knows of the figures. */
@@ -471,7 +448,7 @@
         x.out++;
         a.timer = loop.schedule(() -> timedOut(a), Math.max(0, wait),
             TimeUnit.MICROSECONDS);
-        if (x.answered || wait <= 0 || pool == null || a.number >= config.settings.maxAttempts) {
+        if (x.answered || wait <= 0 || pool == null || a.number >= x.maxAttempts) {
             ended(a, Router.Outcome.NOT_SENT, null);
         } else {
             pool.send(a);
--- /dev/null
+++ b/src/main/java/holdproxy/net/Retuning.java
@@ -0,0 +1,69 @@
+package holdproxy.net;
+
+import holdproxy.input.BadInput;
+import holdproxy.policy.Router;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Settings that replace others while a proxy runs: which may, and what is kept of those before. */
+final class Retuning {
+    private Retuning() {
+    }
+
+    /** Throws a {@link BadInput} that names what no running proxy can take. */
+    static void check(Router.Settings inUse, Router.Settings next) {
+        reject(inUse.aside != next.aside, "settings.familyInfo.mode cannot change while the proxy runs");
+        reject(inUse.originKind != next.originKind,
+            "settings.familyInfo.originKind cannot change while the proxy runs");
+        reject(inUse.askForNodes != next.askForNodes,
+            "settings.registryMode cannot change while the proxy runs");
+        Set<String> names = new HashSet<>();
+        for (Router.RequestClass c : next.classes) {
+            reject(c.deadlineUs <= 0, "class '" + c.name + "' needs a deadline above 0");
+            reject(c.name.isEmpty() || !names.add(c.name),
+                "a class has no name, or that of another: '" + c.name + "'");
+        }
+    }
+
+    private static void reject(boolean bad, String message) {
+        if (bad) {
+            throw new BadInput(message);
+        }
+    }
+
+    /**
+     * The next tenants in the places of those before them, so that what was learnt of each stays with it; a
+     * place that is no longer used has no name and no quota, and goes to the next new tenant.
+     */
+    static Router.Tenant[] tenants(Router.Tenant[] inUse, Router.Tenant[] next) {
+        List<Router.Tenant> fresh = new ArrayList<>(Arrays.asList(next));
+        List<Router.Tenant> placed = new ArrayList<>();
+        for (Router.Tenant before : inUse) {
+            Router.Tenant same = fresh.stream().filter(t -> t.name.equals(before.name)).findFirst()
+                .orElse(null);
+            fresh.remove(same);
+            placed.add(same);
+        }
+        for (int i = 0; i < placed.size(); i++) {
+            if (placed.get(i) == null) {
+                placed.set(i, fresh.isEmpty() ? new Router.Tenant() : fresh.remove(0));
+            }
+        }
+        placed.addAll(fresh);
+        return placed.toArray(Router.Tenant[]::new);
+    }
+
+    /** The next classes, and behind them those that are no longer among them. */
+    static Router.RequestClass[] withDropped(Router.RequestClass[] inUse, Router.RequestClass[] next) {
+        List<Router.RequestClass> all = new ArrayList<>(Arrays.asList(next));
+        for (Router.RequestClass before : inUse) {
+            if (all.stream().noneMatch(c -> c.name.equals(before.name))) {
+                all.add(before);
+            }
+        }
+        return all.toArray(Router.RequestClass[]::new);
+    }
+}
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -53,7 +53,7 @@
         EventLoop loop = loop();
         Proxy proxy = start(config, loop, inherited, kept);
         Service service = new Service(proxy, loop, log, kept);
-        Hangup.handle(() -> reload(proxy, loop, env));
+        Hangup.handle(() -> reload(config, proxy, loop, env));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             service.drain();
             Runtime.getRuntime().halt(0);
@@ -79,7 +79,7 @@
                 proxy.begin();
                 if (kept != null) {
                     // before anything is sent: what the process before this one was told holds here too
-                    kept.all((node, out, at) -> proxy.restore(node, out, proxy.monotonic(at)));
+                    kept.all((node, out, at) -> proxy.members().restore(node, out, proxy.monotonic(at)));
                 }
                 return null;
             }).get();
@@ -153,7 +153,7 @@
     private void look() {
         try {
             kept.changes((node, out, atUnixMs) ->
-                loop.execute(() -> proxy.leaveOut(node, out, proxy.monotonic(atUnixMs))));
+                loop.execute(() -> proxy.members().leaveOut(node, out, proxy.monotonic(atUnixMs))));
         } catch (IOException e) {
             say("which nodes are left out cannot be read: " + e);
         }
@@ -167,7 +167,7 @@
     @Override
     public void leaveOut(String node, boolean out, Consumer<String> answer) {
         loop.execute(() -> {
-            if (!proxy.knows(node, out)) {
+            if (!proxy.members().knows(node, out)) {
                 answer.accept("no cache node is called " + Config.shown(node));
                 return;
             }
@@ -175,7 +175,7 @@
                 try {
                     long atUnixMs = kept.keep(node, out);
                     loop.execute(() -> {
-                        proxy.leaveOut(node, out, proxy.monotonic(atUnixMs));
+                        proxy.members().leaveOut(node, out, proxy.monotonic(atUnixMs));
                         answer.accept(null);
                     });
                 } catch (IOException e) {
@@ -186,13 +186,18 @@
         });
     }
 
-    /** What SIGHUP asks for: the file as it is now, or nothing of it. On any thread. */
-    static void reload(Proxy proxy, EventLoop loop, Map<String, String> env) {
-        try {
-            Config now = Config.reload(env);
-            loop.execute(() -> proxy.taken(now));
-        } catch (BadInput e) {
-            loop.execute(() -> proxy.turnedDown(e.getMessage()));
+    /**
+     * What SIGHUP asks for: the file as it is now, or nothing of it. On any thread, and each signal has one
+     * of its own: one after the other, so that the last file is the last that is taken.
+     */
+    static void reload(Config inUse, Proxy proxy, EventLoop loop, Map<String, String> env) {
+        synchronized (proxy) {
+            try {
+                Config now = inUse.reload(env);
+                loop.execute(() -> proxy.taken(now));
+            } catch (BadInput e) {
+                loop.execute(() -> proxy.turnedDown(e.getMessage()));
+            }
         }
     }
 
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -99,8 +99,7 @@
 
     /** For people who count; nothing is decided by it. */
     public final Tally tally = new Tally();
-    private final Settings set;
-    private final int attemptsMost;
+    private Settings set;
     private final Random random;
     private Blue live;
     private Blue shadow;
@@ -112,9 +111,9 @@
     private double crowding;
     private long crowdingAt;
     private long rotateAt;
-    private final Fading[] asked;
-    private final Fading[] admitted;
-    private final double leastWorth;
+    private Fading[] asked;
+    private Fading[] admitted;
+    private double leastWorth;
     private double meanRatio;
     private long requests;
     private double streak;
@@ -129,25 +128,21 @@
     private final LongMap<Open> open = new LongMap<>();
     private final Fleet fleet;
     private final Fading originChance = new Fading(Target.FADE_US);
-    private final Idling idling;
+    private Idling idling;
     private boolean subscribed;
     private int askFailures;
 
     public Choice(Settings settings, long seed, long nowUs, Actions out) {
-        settings.check();
-        set = settings;
-        attemptsMost = Math.min(Open.ATTEMPTS_MOST, settings.maxAttempts);
         random = new Random(seed);
         startedAt = nowUs;
-        idling = new Idling(settings.idleCloseUs);
         live = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         shadow = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         heat = new Blue(LEVELS, HEAT_BUCKETS, HEAT_US, random.next());
         rotateAt = nowUs + (long) (ROTATE_US * (0.5 + 0.5 * random.unit()));
         fleet = new Fleet(settings);
-        leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
-        asked = Fading.array(Math.max(1, settings.tenants.length), RATE_US);
-        admitted = Fading.array(asked.length, RATE_US);
+        asked = Fading.array(0, RATE_US);
+        admitted = Fading.array(0, RATE_US);
+        onSettings(nowUs, settings);
         if (settings.askForNodes) {
             // a thousand proxies starting together would swamp discovery: each takes its own moment
             double spread = Math.min(ASK_SPREAD * settings.askWithinUs, ASK_US_PER_ROUTER * settings.routers);
@@ -155,6 +150,18 @@
         }
     }
 
+    @Override
+    public void onSettings(long now, Settings settings) {
+        settings.check();
+        if (set == null || set.idleCloseUs != settings.idleCloseUs) {
+            idling = new Idling(settings.idleCloseUs);
+        }
+        set = settings;
+        leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
+        asked = Fading.grown(asked, Math.max(1, set.tenants.length), RATE_US);
+        admitted = Fading.grown(admitted, asked.length, RATE_US);
+    }
+
     // ---- the node list ----
 
     @Override
@@ -209,7 +216,7 @@
         }
         admitted[tenant].count(now);
         int type = Math.max(0, Math.min(q.requestClass, set.classes.length - 1));
-        Open r = new Open(q, set.classes[type], tenant, now);
+        Open r = new Open(q, set.classes[type], tenant, set.maxAttempts, now);
         open.put(r.id, r);
         if (r.key != 0) {
             heat.add(r.key, 1, Double.MAX_VALUE, now);
@@ -372,7 +379,7 @@
 
     private void send(Open r, Target t, long now, Actions out) {
         long left = giveUpAt(r) - now;
-        if (t == null || left <= 0 || r.attempts >= attemptsMost) {
+        if (t == null || left <= 0 || r.attempts >= r.attemptsMost) {
             if (r.out == 0) {
                 tally.add(left <= 0 ? Count.REFUSED_WITHOUT_TIME : r.attempts > 0 && budget < 1
                         ? Count.REFUSED_WITHOUT_BUDGET : Count.REFUSED_WITHOUT_NODE);
@@ -447,7 +454,7 @@
         // a dial that failed has cost no node anything: what follows is in effect the first attempt
         double price = r.out != 0 ? COPY_PRICE : r.last == Outcome.CONNECT_FAILED ? 0 : 1;
         boolean may = budget >= price && giveUpAt(r) > now && (r.out == 0 || set.secondCopies);
-        Target t = !may || r.attempts >= attemptsMost ? null : toOrigin ? origin() : choose(r, now);
+        Target t = !may || r.attempts >= r.attemptsMost ? null : toOrigin ? origin() : choose(r, now);
         if (t == null || !mayResend(r, t, now)) {
             send(r, null, now, out);
             return;
--- a/src/main/java/holdproxy/policy/Fading.java
+++ b/src/main/java/holdproxy/policy/Fading.java
@@ -1,5 +1,7 @@
 package holdproxy.policy;
 
+import java.util.Arrays;
+
 /** One value with its last update, fading with time: a rate, a report or a single BLUE bucket. */
 final class Fading {
     private double fadeUs;
@@ -11,8 +13,13 @@
     }
 
     static Fading[] array(int n, double fadeUs) {
-        Fading[] all = new Fading[n];
-        for (int i = 0; i < n; i++) {
+        return grown(new Fading[0], n, fadeUs);
+    }
+
+    /** At least so many: those given, and new ones behind them. */
+    static Fading[] grown(Fading[] before, int n, double fadeUs) {
+        Fading[] all = Arrays.copyOf(before, Math.max(before.length, n));
+        for (int i = before.length; i < all.length; i++) {
             all[i] = new Fading(fadeUs);
         }
         return all;
--- a/src/main/java/holdproxy/policy/Open.java
+++ b/src/main/java/holdproxy/policy/Open.java
@@ -12,6 +12,7 @@
     final int tenant;
     final double costUs;
     final boolean write;
+    final int attemptsMost;
     boolean hot;
     boolean atOrigin;
     boolean done;
@@ -27,7 +28,8 @@
     final long[] idledUs = new long[ATTEMPTS_MOST];
     final long[] sentAt = new long[ATTEMPTS_MOST];
 
-    Open(Router.Request q, Router.RequestClass type, int tenant, long now) {
+    Open(Router.Request q, Router.RequestClass type, int tenant, int attemptsMost, long now) {
+        this.attemptsMost = Math.min(ATTEMPTS_MOST, attemptsMost);
         id = q.id;
         key = q.key;
         arrived = now;
--- a/src/main/java/holdproxy/policy/Router.java
+++ b/src/main/java/holdproxy/policy/Router.java
@@ -92,7 +92,7 @@
         public double share;
     }
 
-    /** Fixed for the life of a router. A router checks them when it is made. */
+    /** A router checks them when it is made, and when others replace them. */
     final class Settings {
         public int index;
         public int routers = 1;
@@ -262,6 +262,12 @@
      */
     void onLeftOut(long nowUs, int node, boolean out, long atUs);
 
+    /**
+     * Other settings from here on; requests that are open keep their class and their number of attempts. The
+     * mode, the origin's kind and whether to ask for nodes stay; a tenant keeps its index.
+     */
+    void onSettings(long nowUs, Settings settings);
+
     void onRequest(long nowUs, Request request, Actions out);
 
     /** {@code concluded}: the client has its answer already, from this outcome or before it. */
--- a/src/test/java/holdproxy/net/Fixture.java
+++ b/src/test/java/holdproxy/net/Fixture.java
@@ -38,6 +38,7 @@
     final List<Peer.Listener> nodes = new ArrayList<>();
     final List<Peer> clients = new ArrayList<>();
     final EventLoop loop;
+    final Config config;
     final Proxy proxy;
 
     Fixture(int nodeCount) throws IOException {
@@ -53,7 +54,8 @@
         Path file = Files.createTempFile("config", ".json");
         Files.writeString(file, json(list(1, true, entries.toArray(String[]::new)), change.apply(SETTINGS), sockets));
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        proxy = Service.start(Config.load(env(file, discovery.address())), loop, null, null);
+        config = Config.load(env(file, discovery.address()));
+        proxy = Service.start(config, loop, null, null);
         Files.delete(file);
     }
 
--- a/src/test/java/holdproxy/net/LeftOutTest.java
+++ b/src/test/java/holdproxy/net/LeftOutTest.java
@@ -11,11 +11,11 @@
 @Timeout(60)
 class LeftOutTest {
     private static void leaveOut(Fixture f, String node, boolean out) throws Exception {
-        f.loop.submit(() -> f.proxy.leaveOut(node, out, f.proxy.now())).get();
+        f.loop.submit(() -> f.proxy.members().leaveOut(node, out, f.proxy.now())).get();
     }
 
     private static boolean knows(Fixture f, String node, boolean out) throws Exception {
-        return f.loop.submit(() -> f.proxy.knows(node, out)).get();
+        return f.loop.submit(() -> f.proxy.members().knows(node, out)).get();
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/holdproxy/net/RetuningTest.java
@@ -0,0 +1,168 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.policy.Router;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Other settings at SIGHUP: taken whole, or nothing of them; what is open keeps the rules it came under. */
+@Timeout(60)
+class RetuningTest {
+    private static final String SETTINGS = Fixture.SETTINGS;
+    @TempDir
+    Path folder;
+
+    private static String file(Fixture f, String settings) {
+        return "{\"discovery\":\"" + f.discovery.address() + "\","
+            + Fixture.json(Fixture.list(1, true), settings, 1024).substring(1);
+    }
+
+    /** Has the proxy read this at SIGHUP; returns how many files it has taken and turned down so far. */
+    private String reload(Fixture f, String text) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, text);
+        Service.reload(f.config, f.proxy, f.loop, Fixture.env(file, f.discovery.address()));
+        return f.loop.submit(() -> f.proxy.figures().configApplied.get() + "/"
+            + f.proxy.figures().configRejected.get()).get();
+    }
+
+    private static Peer next(Fixture f) throws InterruptedException {
+        for (long end = System.nanoTime() + 10_000_000_000L; System.nanoTime() < end; Thread.onSpinWait()) {
+            for (Peer.Listener n : f.nodes) {
+                Peer p = n.poll();
+                if (p != null) {
+                    return p;
+                }
+            }
+        }
+        throw new AssertionError("no connection came");
+    }
+
+    private static void sent(Peer node) throws IOException {
+        node.line();
+        node.expect("hello");
+    }
+
+    @Test
+    void anAddedClassIsServedAndADroppedOneFirstByItsOldRulesAndThenNoLonger() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            assertEquals("1/0", reload(f, file(f, SETTINGS.replace("\"name\":\"charge\"", "\"name\":\"renew\""))));
+            Peer client = f.client();
+            client.send(Fixture.write("renew", "r1", 4000));
+            Peer node = f.nodes.get(0).next();
+            sent(node);
+            node.send("HD Or1 c1\r\n");
+            client.expect("HD Or1 c1");
+            client.send(Fixture.write("charge", "c1", 4000));
+            sent(node);
+            node.reset();
+            client.expect("SERVER_ERROR failed");
+            f.loop.submit(() -> f.proxy.forgetDropped()).get();
+            client.send(Fixture.write("charge", "c2", 4000));
+            client.expect("CLIENT_ERROR c, t or d is not known here");
+            f.loop.submit(() -> {
+                assertEquals(1, f.proxy.figures().of("renew").ok.get());
+                assertEquals(1, f.proxy.figures().of("charge").errors.get(), "it keeps its counts");
+            }).get();
+        }
+    }
+
+    @Test
+    void anOpenRequestKeepsItsEffectAndItsAttemptsAndTheNextOneHasTheNewOnes() throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            Peer client = f.client();
+            client.send(Fixture.write("submit", "s1", 4000)); // keyed, 4 attempts: may be sent again
+            Peer node = next(f);
+            sent(node);
+            assertEquals("1/0", reload(f, file(f, SETTINGS.replace("\"effect\":\"token\"", "\"effect\":\"side_effect\"")
+                .replace("\"maxAttempts\":4", "\"maxAttempts\":1"))));
+            node.reset();
+            Peer again = next(f);
+            sent(again);
+            again.send("HD Os1 c1\r\n");
+            client.expect("HD Os1 c1");
+            client.send(Fixture.write("submit", "s2", 4000));
+            sent(again);
+            again.reset();
+            client.expect("SERVER_ERROR failed"); // not refused: that would promise that it never ran
+        }
+    }
+
+    @Test
+    void nothingIsTakenOfABrokenFileAndTheLastGoodOneCounts() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            String good = file(f, SETTINGS.replace("\"name\":\"charge\"", "\"name\":\"renew\""));
+            List<String> broken = List.of("", "{", good.substring(0, good.length() - 30), "[]", "null",
+                good.replace("\"discovery\"", "\"discover\""),
+                good.replace("\"settings\"", "\"sittings\""),
+                good.replace("\"grades\"", "\"grade\""),
+                good.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":0"),
+                good.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":-5"),
+                good.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":\"soon\""),
+                good.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":\"5000\""),
+                good.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":null"),
+                good.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":[]"),
+                good.replace("\"deadlineMs\":5000.0,\"lateWorth\"", "\"lateWorth\""),
+                good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"),
+                good.replace("\"maxAttempts\":4", "\"maxAttempts\":1.5"),
+                good.replace("\"maxAttempts\":4", "\"maxAttempts\":true"),
+                good.replace("\"maxAttempts\":4,", ""),
+                good.replace("\"name\":\"renew\"", "\"name\":\"lookup\""),
+                good.replace("\"tenants\":[", "\"tenants\":7,\"x\":["),
+                good.replace("\"mode\":\"through\"", "\"mode\":\"aside\""),
+                good.replace("\"registryMode\":\"subscribe\"", "\"registryMode\":\"automatic\""));
+            for (int i = 0; i < broken.size(); i++) {
+                assertEquals("0/" + (i + 1), reload(f, broken.get(i)), broken.get(i));
+            }
+            Peer client = f.client();
+            client.send(Fixture.write("renew", "r1", 4000));
+            client.expect("CLIENT_ERROR c, t or d is not known here");
+            assertEquals("1/" + broken.size(), reload(f, good));
+            client.send(Fixture.write("renew", "r2", 4000));
+            sent(f.nodes.get(0).next());
+        }
+    }
+
+    @Test
+    void aTenantKeepsItsPlaceAndANewOneTakesThatOfOneThatLeft() {
+        Router.Tenant[] before = {tenant("a", 1), tenant("b", 2), tenant("c", 3)};
+        Router.Tenant[] after = Retuning.tenants(before, new Router.Tenant[] {tenant("c", 30), tenant("a", 10)});
+        assertEquals(List.of("a 10.0", " 0.0", "c 30.0"), told(after));
+        assertEquals(List.of("a 10.0", "d 4.0", "c 30.0", "e 5.0"), told(Retuning.tenants(after, new Router.Tenant[] {
+            tenant("a", 10), tenant("c", 30), tenant("d", 4), tenant("e", 5)})));
+    }
+
+    private static Router.Tenant tenant(String name, double quota) {
+        Router.Tenant t = new Router.Tenant();
+        t.name = name;
+        t.quotaPerS = quota;
+        return t;
+    }
+
+    private static List<String> told(Router.Tenant[] tenants) {
+        return Arrays.stream(tenants).map(t -> t.name + " " + t.quotaPerS).toList();
+    }
+
+    @Test
+    void theMessageNamesTheKey() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, file(f, SETTINGS).replace("\"deadlineMs\":5000.0,\"lateWorth\"", "\"lateWorth\""));
+            try {
+                f.config.reload(Fixture.env(file, f.discovery.address()));
+            } catch (holdproxy.input.BadInput e) {
+                assertTrue(e.getMessage().contains("settings.grades.0.deadlineMs is missing"), e.getMessage());
+                return;
+            }
+            throw new AssertionError("it was taken");
+        }
+    }
+}
