Values up to 4 MiB, relayed as they come over 64 KiB

Change: Relay passes pieces on while the client's connection has room, the node is not read from otherwise; the module is told at the first byte and cancels other attempts. Writes are held within 16 MiB as their bytes come, and go to a node in slices.

--- a/src/main/java/holdproxy/net/Answer.java
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -14,11 +14,16 @@
     String opaque;
     String receipt;
     byte[] value;
+    /** Its value is too large to be held and follows in pieces, of so many bytes together; else 0. */
+    int follows;
     Router.CacheNote note = Router.CacheNote.NONE;
     private String load;
     /** Set where the node broke the protocol: what it sends after this cannot be told apart. */
     boolean broken;
 
+    /** The end of a value that came in pieces. */
+    static final Object PIECED = new Object();
+
     private Answer(Router.Outcome outcome) {
         this.outcome = outcome;
     }
@@ -41,11 +46,16 @@
         }
     }
 
-    /** The lines for the client; what the node tells the proxy alone is left out. */
+    boolean isValue() {
+        return value != null || follows > 0;
+    }
+
+    /** The lines for the client, but for what follows; what the node tells the proxy alone is left out. */
     ByteBuf encode(ByteBufAllocator alloc) {
-        int length = value == null ? 0 : value.length;
-        ByteBuf out = alloc.buffer(opaque.length() + 32 + length + (receipt == null ? 0 : receipt.length()));
-        String line = value != null ? "VA " + length + " " + opaque
+        int length = value == null ? follows : value.length;
+        ByteBuf out = alloc.buffer(opaque.length() + 32 + (value == null ? 0 : length)
+            + (receipt == null ? 0 : receipt.length()));
+        String line = isValue() ? "VA " + length + " " + opaque
                 : receipt != null ? "HD " + opaque + " " + receipt : "HD " + opaque;
         out.writeCharSequence(line + "\r\n", StandardCharsets.ISO_8859_1);
         if (value != null) {
@@ -64,7 +74,13 @@
                 case "VA" -> {
                     pending = new Answer(Router.Outcome.OK);
                     flags(pending, tokens, 2);
-                    return tokens.length < 2 ? -2 : number(tokens[1]);
+                    int length = tokens.length < 2 ? -2 : number(tokens[1]);
+                    if (length > LARGEST_WHOLE && length <= LARGEST_VALUE) {
+                        pending.follows = length;
+                        out.add(pending);
+                        pending = null;
+                    }
+                    return length;
                 }
                 case "HD" -> {
                     Answer a = new Answer(Router.Outcome.OK);
@@ -108,6 +124,16 @@
             pending = null;
         }
 
+        @Override
+        void piece(ByteBuf in, int bytes, List<Object> out) {
+            out.add(in.readRetainedSlice(bytes));
+        }
+
+        @Override
+        void pieced(List<Object> out) {
+            out.add(PIECED);
+        }
+
         @Override
         void broken(String why, List<Object> out) {
             Answer a = new Answer(Router.Outcome.ERROR);
--- a/src/main/java/holdproxy/net/Attempt.java
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -15,6 +15,8 @@
     /** Whether its last byte has gone to the kernel: from there on it may run. */
     boolean written;
     boolean over;
+    /** What the first bytes of a value that is relayed took, less our own standstills; -1: none have come. */
+    long firstBytesUs = -1;
     NodeConnection connection;
     Future<?> timer;
 
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -16,19 +17,27 @@
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
     private static final int LINGER_MS = 500;
+    private static final int LINGER_MOST_MS = 10_000;
     /** One that has sent no whole command is owed an error or its end within 3 s; it holds a place. */
     static final int UNHEARD_MS = 2500;
+    /** Within 6 s where much is sent: for as long as more of it has come within this time. */
+    private static final int UNHEARD_LARGE_MS = 5_500;
+    private static final int AT_WORK_MS = 400;
 
     /** A request's place in the order of answers. */
     static final class Slot {
         private ByteBuf answer;
         private Exchange exchange;
+        /** Gives the answer as it comes; null where it is given whole. */
+        private Relay relay;
     }
 
     private final Proxy proxy;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
     private Future<?> unheard;
+    /** When more of a large value came last. */
+    private long moreUs = Long.MIN_VALUE / 2;
     private boolean unread;
     private boolean closing;
     private boolean refusing;
@@ -45,12 +54,20 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        unheard = ctx.executor().schedule(() -> {
-            ctx.writeAndFlush(line("CLIENT_ERROR no command")).addListener(ChannelFutureListener.CLOSE);
-        }, UNHEARD_MS, TimeUnit.MILLISECONDS);
+        unheard = ctx.executor().schedule(() -> unheard(ctx, UNHEARD_MS), UNHEARD_MS, TimeUnit.MILLISECONDS);
         proxy.opened(this);
     }
 
+    /** A client that is at work on a large value has longer. */
+    private void unheard(ChannelHandlerContext ctx, int afterMs) {
+        if (proxy.now() - moreUs <= AT_WORK_MS * 1000L && afterMs < UNHEARD_LARGE_MS) {
+            unheard = ctx.executor().schedule(() -> unheard(ctx, afterMs + AT_WORK_MS), AT_WORK_MS,
+                TimeUnit.MILLISECONDS);
+        } else {
+            ctx.writeAndFlush(line("CLIENT_ERROR no command")).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     boolean idle() {
         return slots.isEmpty();
     }
@@ -62,6 +79,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+        if (message == Command.MORE) {
+            moreUs = proxy.now();
+            return;
+        }
         unheard.cancel(false);
         if (unread) {
             return; // behind a lost framing, or after the end of our sending: the client asks again elsewhere
@@ -69,7 +90,9 @@
         Slot slot = new Slot();
         slots.add(slot);
         proxy.busy(this);
-        if (refusing && message instanceof Command c) {
+        if (message instanceof Command.TooMuch t) {
+            answer(slot, proxy.shed(t.command()));
+        } else if (refusing && message instanceof Command c) {
             closing = true;
             answer(slot, proxy.shed(c));
         } else if (message instanceof Command c) {
@@ -93,6 +116,9 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         throttle();
+        if (!slots.isEmpty() && slots.peek().relay != null) {
+            slots.peek().relay.pump();
+        }
     }
 
     void answer(Slot slot, String line) {
@@ -116,6 +142,11 @@
             channel.close(); // clients that do not take their answers must not fill our memory with them
             return;
         }
+        advance();
+    }
+
+    /** Writes what is answered and due, and lets a relay go on whose turn it is. */
+    private void advance() {
         boolean any = false;
         while (!slots.isEmpty() && slots.peek().answer != null) {
             ByteBuf next = slots.poll().answer;
@@ -127,12 +158,47 @@
             channel.flush();
             throttle();
         }
-        if (slots.isEmpty()) {
-            if (closing) {
-                end();
-            } else {
-                proxy.idle(this);
+        if (!slots.isEmpty()) {
+            if (any && slots.peek().relay != null) {
+                slots.peek().relay.pump();
             }
+        } else if (closing) {
+            end();
+        } else {
+            proxy.idle(this);
+        }
+    }
+
+    // ---- for relays ----
+
+    void relay(Slot slot, Relay relay) {
+        slot.relay = relay;
+    }
+
+    boolean turnOf(Slot slot) {
+        return slots.peek() == slot;
+    }
+
+    boolean hasRoom() {
+        return channel.isWritable();
+    }
+
+    ChannelFuture write(ByteBuf bytes) {
+        return channel.write(bytes);
+    }
+
+    void flush() {
+        channel.flush();
+        throttle();
+    }
+
+    /** The relay whose turn it was has written all of its value. */
+    void relayed(Slot slot) {
+        slots.remove(slot);
+        if (!slots.isEmpty() && slots.peek().relay != null) {
+            slots.peek().relay.pump();
+        } else {
+            advance();
         }
     }
 
@@ -159,10 +225,13 @@
         }
         ending = true;
         unread = true;
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(f -> proxy.endSending(channel));
+        // a slow client still takes what was written before
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+            proxy.endSending(channel);
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
         throttle();
-        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MOST_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -173,6 +242,8 @@
             if (s.answer != null) {
                 proxy.untaken(-s.answer.readableBytes());
                 s.answer.release();
+            } else if (s.relay != null) {
+                s.relay.clientGone();
             } else if (s.exchange != null) {
                 proxy.clientGone(s.exchange);
             }
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -3,7 +3,10 @@
 import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +31,7 @@
     final double sizeBytes;
     final boolean repeat;
     static final int NOT_STATED = -1;
+    private static final byte[] EMPTY = {};
     private final String beforeWait;
     private final String afterWait;
     private byte[] value;
@@ -165,14 +169,28 @@
         q.write = write;
     }
 
-    /** The command for a node that the proxy will wait for so long. */
+    /** Whether its value goes to a node in slices behind {@link #encode}. */
+    boolean large() {
+        return valueBytes() > MetaDecoder.LARGEST_WHOLE;
+    }
+
+    /** Up to so many bytes of its value from there on, with its end behind the last ones. */
+    ByteBuf slice(int from, int most) {
+        int bytes = Math.min(most, value.length - from);
+        ByteBuf slice = Unpooled.wrappedBuffer(value, from, bytes);
+        boolean last = from + bytes == value.length;
+        return last ? Unpooled.wrappedBuffer(slice, Unpooled.wrappedBuffer(CRLF)) : slice;
+    }
+
+    /** The command for a node that the proxy will wait for so long, with its value unless that is large. */
     ByteBuf encode(ByteBufAllocator alloc, long waitUs) {
         String wait = afterWait == null ? "" : Long.toString(Math.max(1, waitUs / 1000)) + afterWait;
-        ByteBuf out = alloc.buffer(beforeWait.length() + wait.length() + 4 + valueBytes());
+        boolean whole = value != null && !large();
+        ByteBuf out = alloc.buffer(beforeWait.length() + wait.length() + 4 + (whole ? value.length : 0));
         out.writeCharSequence(beforeWait, StandardCharsets.ISO_8859_1);
         out.writeCharSequence(wait, StandardCharsets.ISO_8859_1);
         out.writeBytes(CRLF);
-        if (value != null) {
+        if (whole) {
             out.writeBytes(value).writeBytes(CRLF);
         }
         return out;
@@ -183,9 +201,16 @@
         private final Names names;
         private Command pending;
         private String pendingFault;
+        private final Room room;
+        private byte[] large = EMPTY;
+        private int held;
+        private int length;
+        private boolean tooMuch;
 
-        Decoder(Names names) {
+        /** {@code room}: what values that are still coming may hold. */
+        Decoder(Names names, Room room) {
             this.names = names;
+            this.room = room;
         }
 
         @Override
@@ -206,7 +231,7 @@
         }
 
         private int request(String line, String[] tokens, boolean write, List<Object> out) {
-            int length = write ? number(tokens[2]) : NO_BLOCK;
+            length = write ? number(tokens[2]) : NO_BLOCK;
             try {
                 pending = new Command(line, tokens, write, names);
                 pendingFault = null;
@@ -233,13 +258,62 @@
             pending = null;
         }
 
+        @Override
+        void piece(ByteBuf in, int bytes, List<Object> out) {
+            if (tooMuch || !room.take(bytes)) {
+                give();
+                tooMuch = true; // it is read to its end, where the next command begins, but not held
+                in.skipBytes(bytes);
+            } else {
+                // grown as its bytes come, and not as its header says
+                if (large.length < held + bytes) {
+                    large = Arrays.copyOf(large, Math.min(length, Math.max(2 * large.length, held + bytes)));
+                }
+                in.readBytes(large, held, bytes);
+                held += bytes;
+            }
+            out.add(MORE);
+        }
+
+        private void give() {
+            room.give(held);
+            held = 0;
+            large = EMPTY;
+        }
+
+        @Override
+        void pieced(List<Object> out) {
+            byte[] value = large;
+            give(); // whoever takes the command over takes the room for it at once
+            if (tooMuch && pendingFault == null) {
+                out.add(new TooMuch(pending));
+                pending = null;
+            } else {
+                block(value, out);
+            }
+            tooMuch = false;
+        }
+
+        @Override
+        protected void handlerRemoved0(ChannelHandlerContext ctx) {
+            give();
+        }
+
         @Override
         void broken(String why, List<Object> out) {
+            give();
             pending = null;
             out.add(new Fault("CLIENT_ERROR " + why, true));
         }
     }
 
+    /** More has come of a large value: its client is at work. */
+    static final Object MORE = new Object();
+
+    /** A command whose value there was no room for. */
+    record TooMuch(Command command) {
+    }
+
     /** {@code mn}: whether the proxy is there. */
     record Greeting() {
     }
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -9,10 +9,14 @@
 /** Lines, each perhaps with a block of bytes after it: the framing of the memcache text protocol. */
 abstract class MetaDecoder extends ByteToMessageDecoder {
     static final int LONGEST_LINE = 2048;
-    static final int LARGEST_VALUE = 64 * 1024;
+    /** Up to this size a value is held until it is whole. */
+    static final int LARGEST_WHOLE = 64 * 1024;
+    static final int LARGEST_VALUE = 4 << 20;
     static final int NO_BLOCK = -1;
 
     private int block = NO_BLOCK;
+    /** What is still to come of a block that is taken in pieces. */
+    private int left;
     private boolean lost;
 
     /** A line without its end; returns the length of the block that follows, or {@link #NO_BLOCK}. */
@@ -20,6 +24,12 @@
 
     abstract void block(byte[] value, List<Object> out);
 
+    /** So many more bytes of a block over {@link #LARGEST_WHOLE}, to be read off {@code in}. */
+    abstract void piece(ByteBuf in, int bytes, List<Object> out);
+
+    /** All of such a block has come. */
+    abstract void pieced(List<Object> out);
+
     /** The peer no longer keeps to the framing: what it sends from here on is thrown away. */
     abstract void broken(String why, List<Object> out);
 
@@ -35,6 +45,10 @@
     }
 
     private void decodeBlock(ByteBuf in, List<Object> out) {
+        if (block > LARGEST_WHOLE) {
+            decodePieces(in, out);
+            return;
+        }
         if (in.readableBytes() < block + 2) {
             return;
         }
@@ -48,6 +62,21 @@
         block(value, out);
     }
 
+    private void decodePieces(ByteBuf in, List<Object> out) {
+        if (left > 0) {
+            int bytes = Math.min(left, in.readableBytes());
+            left -= bytes;
+            piece(in, bytes, out);
+        } else if (in.readableBytes() >= 2) {
+            block = NO_BLOCK;
+            if (in.readByte() != '\r' || in.readByte() != '\n') {
+                lose("bad data chunk", out);
+                return;
+            }
+            pieced(out);
+        }
+    }
+
     private void decodeLine(ByteBuf in, List<Object> out) {
         int end = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
         int length = (end < 0 ? in.writerIndex() : end) - in.readerIndex();
@@ -62,6 +91,7 @@
             } else if (block != NO_BLOCK && block < 0) {
                 lose("bad data length", out);
             }
+            left = Math.max(0, block);
         }
     }
 
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import holdproxy.policy.Router;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,14 +9,24 @@
 import java.util.ArrayDeque;
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
-final class NodeConnection extends SimpleChannelInboundHandler<Answer> {
+final class NodeConnection extends SimpleChannelInboundHandler<Object> {
+    private static final int SLICE_BYTES = 32 * 1024;
+
     final NodePool pool;
     private final ArrayDeque<Attempt> line = new ArrayDeque<>();
+    /** Those whose values are on their way, and how much of the first one's has gone. */
+    private final ArrayDeque<Attempt> sending = new ArrayDeque<>();
+    private int sent;
     private Channel channel;
     private boolean up;
     private boolean closed;
     /** An attempt on it was given up: what went on it now would wait behind that one's answer. */
     private boolean retired;
+    /** Where the value goes that comes in pieces now; null: nowhere, it is thrown away. */
+    private Relay relay;
+    /** A value comes in pieces now. */
+    private boolean inPieces;
+    private Answer relayed;
 
     NodeConnection(NodePool pool) {
         this.pool = pool;
@@ -31,7 +42,7 @@
     }
 
     boolean usable() {
-        return !closed && !retired && (!up || channel.isActive());
+        return !closed && !retired && sending.isEmpty() && (!up || channel.isActive());
     }
 
     void add(Attempt a) {
@@ -44,13 +55,41 @@
 
     private void write(Attempt a) {
         long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
-        channel.writeAndFlush(a.exchange.command.encode(channel.alloc(), waitUs))
-            .addListener(f -> {
-                if (f.isSuccess()) {
-                    a.written = true;
-                    pool.pools.proxy.figures().tries.add(1);
-                }
-            });
+        Command c = a.exchange.command;
+        ChannelFuture written = channel.writeAndFlush(c.encode(channel.alloc(), waitUs));
+        if (c.large()) {
+            sending.add(a);
+            send();
+        } else {
+            written.addListener(f -> written(a, f.isSuccess()));
+        }
+    }
+
+    /** Large values go out in slices, so that no more of them waits for the socket than it takes. */
+    private void send() {
+        while (!sending.isEmpty() && channel.isWritable() && !closed) {
+            Attempt a = sending.peek();
+            Command c = a.exchange.command;
+            ChannelFuture written = channel.writeAndFlush(c.slice(sent, SLICE_BYTES));
+            sent += SLICE_BYTES;
+            if (sent >= c.valueBytes()) {
+                sent = 0;
+                sending.poll();
+                written.addListener(f -> written(a, f.isSuccess()));
+            }
+        }
+    }
+
+    private void written(Attempt a, boolean whole) {
+        if (whole) {
+            a.written = true;
+            pool.pools.proxy.figures().tries.add(1);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        send();
     }
 
     @Override
@@ -93,21 +132,66 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, Answer answer) {
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof Answer answer) {
+            answered(answer);
+        } else if (message instanceof ByteBuf bytes) {
+            if (relay != null) {
+                relay.more(bytes.retain());
+            }
+        } else {
+            pieced();
+        }
+    }
+
+    private void answered(Answer answer) {
         Attempt a = line.peek();
         if (a == null || closed) {
             close(); // an answer to nothing
             return;
         }
-        if (answer.broken || !a.written || answer.outcome == Router.Outcome.OK && !fits(answer, a)) {
+        boolean ours = answer.outcome != Router.Outcome.OK || fits(answer, a);
+        if (answer.broken || inPieces || !a.written || !ours) {
             pool.pools.log.line("node " + pool.name + " broke the protocol"
                 + (answer.broken ? ": " + Config.shown(answer.receipt) : ""));
             // a broken connection, not a read error: it may have run, and it says nothing of capacity
-            line.poll();
-            end(a, Router.Outcome.RESET, null);
+            if (!inPieces) {
+                line.poll();
+                end(a, Router.Outcome.RESET, null);
+            }
             close(); // whose its further answers are cannot be told
             return;
         }
+        if (answer.follows > 0) {
+            inPieces = true;
+            relayed = answer;
+            relay = a.over ? null : pool.pools.proxy.relay(a, answer, this);
+            if (relay == null && !anyWaitingBehind()) {
+                close(); // 4 MiB that nobody waits for cost more than a new connection
+            }
+            return;
+        }
+        finished(a, answer);
+    }
+
+    /** The value that came in pieces is whole. */
+    private void pieced() {
+        inPieces = false;
+        Attempt a = line.peek();
+        if (relay != null) {
+            Relay r = relay;
+            relay = null;
+            read(true);
+            r.whole();
+        }
+        if (a != null) {
+            finished(a, relayed);
+        }
+        relayed = null;
+    }
+
+    /** The attempt that was due an answer has it. */
+    private void finished(Attempt a, Answer answer) {
         line.poll();
         if (line.isEmpty() && !retired) {
             pool.idle(this);
@@ -120,6 +204,21 @@
         }
     }
 
+    /** Whether more is read from it. */
+    void read(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
+    /** The client of the value that is being relayed has gone. */
+    void abandon(Attempt a) {
+        relay = null;
+        read(true);
+        if (!a.over) {
+            giveUp(a);
+            pool.pools.proxy.ended(a, Router.Outcome.CANCELLED, null);
+        }
+    }
+
     /** Whether an attempt in line still waits for its answer. */
     private boolean anyWaiting() {
         for (Attempt a : line) {
@@ -130,10 +229,22 @@
         return false;
     }
 
+    /** The same for those behind the one that is being answered. */
+    private boolean anyWaitingBehind() {
+        boolean first = true;
+        for (Attempt a : line) {
+            if (!first && !a.over) {
+                return true;
+            }
+            first = false;
+        }
+        return false;
+    }
+
     /** Whether an answer is of the kind and bears the id of the attempt that is due one. */
     private static boolean fits(Answer answer, Attempt a) {
         Command c = a.exchange.command;
-        return c.opaque.equals(answer.opaque) && c.write == (answer.value == null);
+        return c.opaque.equals(answer.opaque) && c.write != answer.isValue();
     }
 
     private void end(Attempt a, Router.Outcome outcome, Answer answer) {
@@ -167,6 +278,11 @@
         }
         closed = true;
         pool.removed(this);
+        if (relay != null) {
+            Relay r = relay;
+            relay = null;
+            r.brokenOff();
+        }
         while (!line.isEmpty()) {
             Attempt a = line.poll();
             end(a, a.broken(), null);
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -75,8 +75,9 @@
     private final Lateness lateness;
     private boolean inEvent;
     private long nextId = 1;
-    private long heldBytes;
+    private final Room values = new Room(MOST_HELD_BYTES);
     private long untakenBytes;
+    private final Relay.Held relays = new Relay.Held();
     private Channel listener;
     private boolean handingOver;
     private volatile boolean listening;
@@ -180,7 +181,7 @@
 
     /** What a client's connection needs. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new Command.Decoder(names), new ClientSession(this)};
+        return new ChannelHandler[] {new Command.Decoder(names, values), new ClientSession(this)};
     }
 
     InetSocketAddress address() {
@@ -282,16 +283,16 @@
     // ---- requests ----
 
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
-        if (table.size() >= Math.min(MOST_OPEN, settings.maxOpen)
-                || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
-            session.answer(slot, shed(c));
-            return null;
-        }
         Integer type = names.classes().get(c.requestClass);
         if (type == null) {
             session.answer(slot, "CLIENT_ERROR c is not known here any longer");
             return null;
         }
+        if (table.size() >= Math.min(MOST_OPEN, settings.maxOpen)
+                || !values.take(c.valueBytes())) {
+            session.answer(slot, shed(c));
+            return null;
+        }
         long now = now();
         long classUs = settings.classes[type].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
@@ -300,7 +301,6 @@
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs, settings.maxAttempts);
         table.put(x.id, x);
         figures.active.add(1);
-        heldBytes += c.valueBytes();
         x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
             TimeUnit.MICROSECONDS);
         event(() -> {
@@ -337,7 +337,7 @@
 
     private void settle(Exchange x) {
         if (x.answered && x.out == 0 && table.remove(x.id) != null) {
-            heldBytes -= x.command.valueBytes();
+            values.give(x.command.valueBytes());
         }
     }
 
@@ -383,9 +383,7 @@
             x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
         }
         settle(x);
-        long now = now();
-        // while the loop stood still the answer may have lain there: that time says nothing of the node
-        long latencyUs = Math.max(0, now - a.sentUs - stoodStillUs(a, now));
+        long latencyUs = a.firstBytesUs >= 0 ? a.firstBytesUs : latencyUs(a, now());
         event(() -> {
             if (answer != null) {
                 answer.report(report);
@@ -397,6 +395,11 @@
         });
     }
 
+    /** What an attempt has taken; what lay there while the loop stood still says nothing of the node. */
+    private long latencyUs(Attempt a, long now) {
+        return Math.max(0, now - a.sentUs - stoodStillUs(a, now));
+    }
+
     /** For how long the loop has stood still since an attempt was sent. */
     private long stoodStillUs(Attempt a, long now) {
         return lateness.totalUs(now) - a.stoodStillUs;
@@ -431,6 +434,40 @@
         figures.poolEjected.set(choice.avoided(now()));
     }
 
+    // ---- values that are passed on as they come ----
+
+    /** A node has begun such a value: from here on the request is this attempt's. Null: it is answered. */
+    Relay relay(Attempt a, Answer answer, NodeConnection node) {
+        Exchange x = a.exchange;
+        if (x.answered) {
+            return null;
+        }
+        x.answered = true;
+        x.overdue.cancel(false);
+        a.timer.cancel(false);
+        a.firstBytesUs = latencyUs(a, now());
+        event(() -> router.onStreaming(now(), x.id, a.number, this));
+        return new Relay(this, a, node, answer.encode(ByteBufAllocator.DEFAULT), relays);
+    }
+
+    /** The client has taken the last byte of its value, or will not. */
+    void relayed(Exchange x, boolean whole) {
+        figures.active.add(-1);
+        if (whole) {
+            outcomes(x.command).ok.add(1);
+        }
+    }
+
+    /** A node broke off in the middle of a value. */
+    void relayBroken(Exchange x) {
+        figures.active.add(-1);
+        outcomes(x.command).errors.add(1);
+    }
+
+    Future<?> every(int ms, Runnable task) {
+        return loop.scheduleAtFixedRate(task, ms, ms, TimeUnit.MILLISECONDS);
+    }
+
     // ---- the module's actions ----
 
     @Override
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -18,6 +19,8 @@
 /** TCP, all of it on one event loop. */
 final class Sockets implements Transport {
     private static final int BACKLOG = 512;
+    /** Of at most 64 KiB each: small answers on other connections do not wait behind a large value. */
+    private static final int READS_A_TURN = 4;
 
     private final EventLoop loop;
     private final Bootstrap client;
@@ -29,7 +32,9 @@
         this.inherited = inherited;
         client = new Bootstrap().group(loop)
             .channelFactory(NioSocketChannel::new) // by reflection, a start would pay for it again and again
-            .option(ChannelOption.TCP_NODELAY, true);
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_A_TURN));
     }
 
     @Override
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -679,9 +679,16 @@
     @Override
     public void onStreaming(long now, long id, int attempt, Actions out) {
         Open r = open.get(id);
-        if (r != null) {
-            r.done = true; // the attempt belongs to the client: nothing else is sent, and nothing answered
+        if (r == null || r.done) {
+            return;
+        }
+        // the attempt belongs to the client: nothing else is sent, and nothing answered
+        for (int i = 0; i < r.attempts && set.mayCancel; i++) {
+            if (i != attempt && r.isOut(i)) {
+                out.cancel(id, i);
+            }
         }
+        r.done = true;
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/holdproxy/net/RelayTest.java
@@ -0,0 +1,372 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import holdproxy.policy.Router;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Values over 64 KiB in memory: passed on as they come, held back for slow clients, on a clock moved by hand. */
+class RelayTest {
+    private static final int MIB = 1 << 20;
+
+    private final MockTicker ticker = Ticker.newMockTicker();
+    private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
+    private final List<EmbeddedChannel> nodes = new ArrayList<>();
+    private final List<Discovery.Entry> entries = new ArrayList<>();
+    private Proxy proxy;
+    private EmbeddedChannel client;
+
+    @BeforeEach
+    void start(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fixture.json(Fixture.list(1, true),
+            Fixture.SETTINGS.replace("\"secondCopies\":false", "\"secondCopies\":true"), 1024));
+        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+        Time time = new Time(ticker, () -> 0);
+        proxy = new Proxy(config, timers.eventLoop(), time, new Transport() {
+            @Override
+            public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+                EmbeddedChannel node = new EmbeddedChannel(handlers);
+                if (address.getPort() != 1) { // discovery's
+                    nodes.add(node);
+                }
+                return node.newSucceededFuture();
+            }
+
+            @Override
+            public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+                throw new UnsupportedOperationException("clients come by hand");
+            }
+
+            @Override
+            public void endSending(Channel channel) {
+                channel.close();
+            }
+        }, new Log(time, line -> { }));
+        for (int i = 0; i < 4; i++) {
+            Router.Node n = new Router.Node();
+            n.id = i + 1;
+            entries.add(new Discovery.Entry(n, "s-" + i, config.listen));
+        }
+        proxy.nodes(Router.ListKind.CACHED, entries);
+        client = new EmbeddedChannel(proxy.handlers());
+    }
+
+    private void pass(int ms) {
+        ticker.advance(ms, TimeUnit.MILLISECONDS);
+        timers.runScheduledPendingTasks();
+        client.runPendingTasks();
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Rehearsal.bytes(text);
+    }
+
+    /** A value of that size, in which no piece is like another and lines of the protocol stand. */
+    private static byte[] value(int size) {
+        byte[] value = new byte[size];
+        for (int i = 0; i < size; i++) {
+            value[i] = (byte) (i * 31 + i / 251);
+        }
+        byte[] line = "\r\nVA 5 Ob\r\nSERVER_ERROR busy\r\n".getBytes(StandardCharsets.ISO_8859_1);
+        System.arraycopy(line, 0, value, size / 2, line.length);
+        return value;
+    }
+
+    private static byte[] taken(EmbeddedChannel channel) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            byte[] part = new byte[b.readableBytes()];
+            b.readBytes(part);
+            all.writeBytes(part);
+            b.release();
+        }
+        return all.toByteArray();
+    }
+
+    private static byte[] answer(String id, byte[] value) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(("VA " + value.length + " " + id + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        all.writeBytes(value);
+        all.writeBytes(new byte[] {'\r', '\n'});
+        return all.toByteArray();
+    }
+
+    /** Asks for a value and has the node that is asked begin it; returns that node. */
+    private EmbeddedChannel begun(String id, int size) {
+        client.writeInbound(bytes(Fixture.read(id, 900)));
+        EmbeddedChannel node = asked();
+        node.writeInbound(bytes("VA " + size + " O" + id + " h1\r\n"));
+        return node;
+    }
+
+    /** The node that has just been sent a command. */
+    private EmbeddedChannel asked() {
+        return nodes.stream().filter(n -> taken(n).length > 0).findFirst().orElseThrow();
+    }
+
+    private String counts() {
+        var f = proxy.figures();
+        return f.of("lookup").ok.get() + "/" + f.of("lookup").shed.get() + "/" + f.of("lookup").errors.get()
+            + " active " + f.active.get();
+    }
+
+    @Test
+    void aValueOf4MiBComesAsTheNodeGaveItWhateverThePieces() {
+        byte[] value = value(4 * MIB);
+        for (int piece : new int[] {64 * 1024, 1_000_003, 4 * MIB}) {
+            EmbeddedChannel node = begun("a" + piece, value.length);
+            ByteArrayOutputStream got = new ByteArrayOutputStream();
+            for (int at = 0; at < value.length; at += piece) {
+                node.writeInbound(Unpooled.wrappedBuffer(value, at, Math.min(piece, value.length - at)));
+                got.writeBytes(taken(client));
+            }
+            node.writeInbound(bytes("\r"));
+            node.writeInbound(bytes("\n"));
+            got.writeBytes(taken(client));
+            assertArrayEquals(answer("Oa" + piece, value), got.toByteArray());
+        }
+        assertEquals("3/0/0 active 0", counts());
+    }
+
+    @Test
+    void itsFirstBytesGoOnBeforeTheRestIsThereAndItsTimeMayPass() {
+        EmbeddedChannel node = begun("a1", MIB);
+        byte[] value = value(MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value, 0, 10));
+        assertEquals(10 + "VA 1048576 Oa1\r\n".length(), taken(client).length);
+        assertEquals("0/0/0 active 1", counts());
+        for (int i = 0; i < 3; i++) {
+            pass(1000); // its 900 ms are over: what the node still gives is not cut off
+            node.writeInbound(Unpooled.wrappedBuffer(value, 10 + i, 1));
+            assertEquals(1, taken(client).length);
+        }
+        node.writeInbound(Unpooled.wrappedBuffer(value, 13, MIB - 13), bytes("\r\n"));
+        assertEquals(MIB - 13 + 2, taken(client).length);
+        assertEquals("1/0/0 active 0", counts());
+    }
+
+    @Test
+    void singleBytesAndASplitHeadAreOneValueAmongOthers() {
+        byte[] value = value(65 * 1024);
+        client.writeInbound(bytes(Fixture.read("a1", 4000) + "mn\r\n"));
+        EmbeddedChannel node = nodes.get(0);
+        taken(node);
+        ByteArrayOutputStream got = new ByteArrayOutputStream();
+        for (byte b : answer("Oa1 h0", value)) {
+            node.writeInbound(Unpooled.wrappedBuffer(new byte[] {b}));
+            got.writeBytes(taken(client));
+        }
+        byte[] wanted = answer("Oa1", value);
+        assertArrayEquals(wanted, java.util.Arrays.copyOf(got.toByteArray(), wanted.length));
+        assertEquals("MN\r\n", got.toString(StandardCharsets.ISO_8859_1).substring(wanted.length));
+    }
+
+    @Test
+    void itWaitsForItsTurnBehindASlowerAnswerAndTheNodeWithIt() {
+        client.writeInbound(bytes(Fixture.read("slow", 4000)));
+        EmbeddedChannel slow = nodes.get(0);
+        taken(slow);
+        EmbeddedChannel node = begun("a1", MIB);
+        byte[] value = value(MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value, 0, 1000));
+        assertEquals(0, taken(client).length);
+        assertFalse(node.config().isAutoRead(), "the node is not read from meanwhile");
+        slow.writeInbound(bytes("VA 1 Oslow\r\n1\r\n"));
+        assertEquals("VA 1 Oslow\r\n1\r\nVA 1048576 Oa1\r\n".length() + 1000, taken(client).length);
+        assertTrue(node.config().isAutoRead());
+        node.writeInbound(Unpooled.wrappedBuffer(value, 1000, MIB - 1000), bytes("\r\n"));
+        assertEquals(MIB - 1000 + 2, taken(client).length);
+        assertEquals("2/0/0 active 0", counts());
+    }
+
+    @Test
+    void aNodeIsReadFromOnlyWhileTheClientTakesWhatItGives() {
+        EmbeddedChannel node = begun("a1", MIB);
+        byte[] value = value(MIB);
+        room(false);
+        assertFalse(node.config().isAutoRead());
+        node.writeInbound(Unpooled.wrappedBuffer(value, 0, 1000)); // was under way
+        int before = taken(client).length;
+        assertEquals("VA 1048576 Oa1\r\n".length(), before);
+        pass(1500);
+        room(true);
+        assertEquals(1000, taken(client).length);
+        assertTrue(node.config().isAutoRead());
+        node.writeInbound(Unpooled.wrappedBuffer(value, 1000, MIB - 1000), bytes("\r\n"));
+        assertEquals(MIB - 1000 + 2, taken(client).length);
+    }
+
+    private void room(boolean there) {
+        client.unsafe().outboundBuffer().setUserDefinedWritability(1, there);
+        client.runPendingTasks();
+    }
+
+    @Test
+    void aClientThatTakesNothingIsClosedInTheEndAndTheNodesConnectionWithIt() {
+        EmbeddedChannel node = begun("a1", MIB);
+        room(false);
+        pass(9_000);
+        assertTrue(client.isActive());
+        pass(2_000);
+        assertFalse(client.isActive());
+        assertFalse(node.isActive());
+        assertEquals("0/0/0 active 0", counts());
+        assertEquals(0, proxy.open());
+    }
+
+    @Test
+    void aNodeThatFallsSilentInTheMiddleEndsTheClientsConnection() {
+        EmbeddedChannel node = begun("a1", MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value(1000)));
+        pass(4_500);
+        assertTrue(client.isActive());
+        pass(1_500);
+        assertFalse(client.isActive(), "it can tell that its value is not whole");
+        assertEquals("0/0/1 active 0", counts());
+        assertEquals(0, proxy.open());
+    }
+
+    @Test
+    void aNodeThatBreaksOffOrEndsItWronglyEndsTheClientsConnection() {
+        EmbeddedChannel node = begun("a1", MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value(1000)));
+        node.close();
+        assertFalse(client.isActive());
+        assertEquals("0/0/1 active 0", counts());
+        client = new EmbeddedChannel(proxy.handlers());
+        node = begun("a2", MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value(MIB)), bytes("no"));
+        assertFalse(node.isActive());
+        assertFalse(client.isActive());
+        assertEquals(MIB + "VA 1048576 Oa2\r\n".length(), taken(client).length, "nothing that says it is whole");
+        assertEquals("0/0/2 active 0", counts());
+        assertEquals(0, proxy.open());
+    }
+
+    @Test
+    void aClientThatLeavesEndsTheNodesConnection() {
+        EmbeddedChannel node = begun("a1", MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value(1000)));
+        client.close();
+        assertFalse(node.isActive());
+        assertEquals("0/0/0 active 0", counts());
+        assertEquals(0, proxy.open());
+    }
+
+    @Test
+    void onceItHasBegunNoOtherAttemptMayAnswer() {
+        for (int i = 0; i < 60; i++) { // what these earn pays for a second copy
+            begun("e" + i, 70_000).writeInbound(Unpooled.wrappedBuffer(new byte[70_000]), bytes("\r\n"));
+            taken(client);
+        }
+        int before = nodes.size();
+        client.writeInbound(bytes(Fixture.read("a1", 4000)));
+        EmbeddedChannel first = asked();
+        pass(500);
+        EmbeddedChannel second = asked();
+        second.writeInbound(bytes("VA " + MIB + " Oa1\r\n"), Unpooled.wrappedBuffer(value(1000)));
+        assertFalse(first.isActive(), "the other one is told at once");
+        assertEquals("VA 1048576 Oa1\r\n".length() + 1000, taken(client).length);
+        second.writeInbound(Unpooled.wrappedBuffer(new byte[MIB - 1000]), bytes("\r\n"));
+        assertEquals(MIB - 1000 + 2, taken(client).length);
+        assertEquals("61/0/0 active 0", counts());
+        assertTrue(nodes.size() <= before + 2);
+    }
+
+    @Test
+    void aLargeWriteIsHeldAsItComesAndGoesToANodeWhole() {
+        byte[] value = value(4 * MIB);
+        client.writeInbound(bytes("ms 7f " + value.length + " Ow1 Pc=charge,t=acme,d=4000\r\n"));
+        client.writeInbound(Unpooled.wrappedBuffer(value, 0, MIB));
+        assertEquals(0, nodes.size());
+        client.writeInbound(Unpooled.wrappedBuffer(value, MIB, 3 * MIB), bytes("\r\n"));
+        byte[] sent = taken(nodes.get(0));
+        String head = new String(sent, 0, 80, StandardCharsets.ISO_8859_1).split("\r\n")[0];
+        assertTrue(head.startsWith("ms 7f " + value.length + " Ow1 Pc=charge,t=acme,d="), head);
+        assertArrayEquals(value, java.util.Arrays.copyOfRange(sent, head.length() + 2, sent.length - 2));
+        assertEquals(1, proxy.figures().tries.get());
+        nodes.get(0).writeInbound(bytes("HD Ow1 c1\r\n"));
+        assertEquals("HD Ow1 c1\r\n", new String(taken(client), StandardCharsets.ISO_8859_1));
+    }
+
+    @Test
+    void aLargeWriteGoesOnOnlyAsTheNodesConnectionTakesIt() {
+        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        String write = "ms 7f " + MIB + " Ow1 Pc=charge,t=acme,d=4000\r\n";
+        client.writeInbound(bytes("mg 7f v Oa1 Pc=lookup,t=acme,d=900\r\n"));
+        EmbeddedChannel node = asked(); // of the same key: its connection will be used again
+        node.writeInbound(bytes("VA 1 Oa1\r\n1\r\n"));
+        taken(client);
+        client.writeInbound(bytes(write), Unpooled.wrappedBuffer(new byte[MIB]));
+        node.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        client.writeInbound(bytes("\r\n"));
+        assertTrue(taken(node).length < 100, "no more than its head");
+        assertEquals(1, proxy.figures().tries.get(), "it is no try until it is whole");
+        node.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        node.runPendingTasks();
+        assertEquals(MIB + 2, taken(node).length);
+        assertEquals(2, proxy.figures().tries.get());
+    }
+
+    @Test
+    void moreThanThereIsRoomForIsRefusedAndTheNextCommandIsRead() {
+        List<EmbeddedChannel> clients = new ArrayList<>();
+        for (int i = 0; i < 5; i++) { // there is room for four
+            EmbeddedChannel c = new EmbeddedChannel(proxy.handlers());
+            c.writeInbound(bytes("ms 7f " + 4 * MIB + " Ow" + i + " Pc=charge,t=acme,d=4000\r\n"));
+            c.writeInbound(Unpooled.wrappedBuffer(new byte[4 * MIB]));
+            clients.add(c);
+        }
+        clients.get(4).writeInbound(bytes("\r\nmn\r\n"));
+        String answer = new String(taken(clients.get(4)), StandardCharsets.ISO_8859_1);
+        assertTrue(answer.matches("SERVER_ERROR busy [0-9]+\r\nMN\r\n"), answer);
+        assertEquals(1, proxy.figures().of("charge").shed.get());
+        clients.get(0).close(); // in the middle of its value, which is held no longer
+        clients.get(4).writeInbound(bytes("ms 7f " + 4 * MIB + " Ox Pc=charge,t=acme,d=4000\r\n"));
+        clients.get(4).writeInbound(Unpooled.wrappedBuffer(new byte[4 * MIB]), bytes("\r\n"));
+        assertEquals(1, nodes.size());
+    }
+
+    @Test
+    void aClientAtWorkOnALargeValueHasLongerThanOneThatSendsNothing() {
+        String head = "ms 7f " + MIB + " Ow Pc=charge,t=acme,d=4000\r\n";
+        EmbeddedChannel idle = EmbeddedChannel.builder().ticker(ticker).handlers(proxy.handlers()).build();
+        EmbeddedChannel busy = EmbeddedChannel.builder().ticker(ticker).handlers(proxy.handlers()).build();
+        idle.writeInbound(bytes(head), Unpooled.wrappedBuffer(new byte[100]));
+        busy.writeInbound(bytes(head));
+        for (int ms = 0; ms < 6_000; ms += 100) {
+            ticker.advance(100, TimeUnit.MILLISECONDS);
+            if (busy.isActive()) {
+                busy.writeInbound(Unpooled.wrappedBuffer(new byte[1000]));
+            }
+            idle.runScheduledPendingTasks();
+            busy.runScheduledPendingTasks();
+            assertEquals(ms + 100 < ClientSession.UNHEARD_MS, idle.isActive(), "at " + ms);
+            assertTrue(ms + 100 > 5_000 || busy.isActive(), "at " + ms);
+        }
+        assertFalse(busy.isActive());
+    }
+}
