A new process takes clients once it has a list; descriptors of two processes bounded

Change: with an inherited socket accepting begins at the first list or after 2 s; the bounds of each process leave room for the other. Relays split from Proxy. Tests of two proxies on one socket.

--- a/src/main/java/holdproxy/net/Members.java
+++ b/src/main/java/holdproxy/net/Members.java
@@ -1,6 +1,8 @@
 package holdproxy.net;
 
 import holdproxy.policy.Router;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -14,11 +16,14 @@
     private final NodePools pools;
     private final Discovery discovery;
     private final Log log;
+    /** Done with the first list that discovery has given. */
+    private final Promise<Void> first;
     private final Set<Integer> listed = new HashSet<>();
     /** By their names in the list, which they may have left. */
     private final Set<String> leftOut = new HashSet<>();
 
-    Members(Proxy proxy, NodePools pools, Discovery discovery, Log log) {
+    Members(Proxy proxy, NodePools pools, Discovery discovery, Log log, Promise<Void> first) {
+        this.first = first;
         this.proxy = proxy;
         this.pools = pools;
         this.discovery = discovery;
@@ -52,6 +57,14 @@
             }
         }
         proxy.figures().poolSize.set(listed.size());
+        if (kind == Router.ListKind.FULL || kind == Router.ListKind.DELTA) {
+            first.trySuccess(null);
+        }
+    }
+
+    /** On any thread. */
+    Future<Void> first() {
+        return first;
     }
 
     private void left(int id, boolean gone) {
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -165,7 +165,7 @@
         if (answer.follows > 0) {
             inPieces = true;
             relayed = answer;
-            relay = a.over ? null : pool.pools.proxy.relay(a, answer, this);
+            relay = a.over ? null : pool.pools.proxy.relays.begin(a, answer, this);
             if (relay == null && !anyWaitingBehind()) {
                 close(); // 4 MiB that nobody waits for cost more than a new connection
             }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -26,13 +26,9 @@
  * thread, the event loop, runs all of it; nothing here is locked and nothing may block.
  */
 public final class Proxy implements Router.Actions {
-    /** Descriptors for the program itself: libraries, selector, listener, discovery. */
-    private static final int OWN_DESCRIPTORS = 48;
     private static final long MOST_HELD_BYTES = 16L << 20;
     private static final long MOST_UNTAKEN_BYTES = 12L << 20;
     private static final int MOST_OPEN = 4096;
-    /** Connections over the bound on clients that are still told so. */
-    private static final int MOST_REFUSING = 16;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
     private static final long TRANSIT_US = 5_000;
@@ -77,7 +73,7 @@
     private long nextId = 1;
     private final Room values = new Room(MOST_HELD_BYTES);
     private long untakenBytes;
-    private final Relay.Held relays = new Relay.Held();
+    final Relays relays = new Relays(this);
     private Channel listener;
     private boolean handingOver;
     private volatile boolean listening;
@@ -91,17 +87,16 @@
         this.log = log;
         lateness = new Lateness(now());
         drained = loop.newPromise();
-        int left = config.sockets - OWN_DESCRIPTORS;
-        mostSessions = left / 2;
+        Descriptors bound = Descriptors.of(config.sockets, transport != null && transport.shared());
+        mostSessions = bound.clients();
         settings = config.settings;
         names.set(settings);
         for (Router.RequestClass c : settings.classes) {
             figures.of(c.name); // there is a figure before there is a request
         }
-        pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING,
-            transport);
+        pools = new NodePools(this, config, loop, log, bound.nodes(), transport);
         discovery = new Discovery(this, config, transport, log);
-        members = new Members(this, pools, discovery, log);
+        members = new Members(this, pools, discovery, log, loop.newPromise());
         choice = new Choice(config.settings, config.seed, now(), this);
         router = choice;
     }
@@ -220,6 +215,10 @@
         return time.monotonicUs(unixMs);
     }
 
+    Future<?> every(int ms, Runnable task) {
+        return loop.scheduleAtFixedRate(task, ms, ms, TimeUnit.MILLISECONDS);
+    }
+
     /** The module's calls do not nest: what its actions bring about at once is delivered after its return. */
     void event(Runnable call) {
         events.add(call);
@@ -251,7 +250,7 @@
             } else {
                 s.refuse();
             }
-            if (sessions.size() > mostSessions + MOST_REFUSING) {
+            if (sessions.size() > mostSessions + Descriptors.REFUSING) {
                 s.abort(); // descriptors: past the bound nothing could be opened, not even to a node
             }
         }
@@ -341,7 +340,7 @@
         }
     }
 
-    private Figures.Outcomes outcomes(Command c) {
+    Figures.Outcomes outcomes(Command c) {
         return figures.of(c.requestClass);
     }
 
@@ -396,7 +395,7 @@
     }
 
     /** What an attempt has taken; what lay there while the loop stood still says nothing of the node. */
-    private long latencyUs(Attempt a, long now) {
+    long latencyUs(Attempt a, long now) {
         return Math.max(0, now - a.sentUs - stoodStillUs(a, now));
     }
 
@@ -434,40 +433,6 @@
         figures.poolEjected.set(choice.avoided(now()));
     }
 
-    // ---- values that are passed on as they come ----
-
-    /** A node has begun such a value: from here on the request is this attempt's. Null: it is answered. */
-    Relay relay(Attempt a, Answer answer, NodeConnection node) {
-        Exchange x = a.exchange;
-        if (x.answered) {
-            return null;
-        }
-        x.answered = true;
-        x.overdue.cancel(false);
-        a.timer.cancel(false);
-        a.firstBytesUs = latencyUs(a, now());
-        event(() -> router.onStreaming(now(), x.id, a.number, this));
-        return new Relay(this, a, node, answer.encode(ByteBufAllocator.DEFAULT), relays);
-    }
-
-    /** The client has taken the last byte of its value, or will not. */
-    void relayed(Exchange x, boolean whole) {
-        figures.active.add(-1);
-        if (whole) {
-            outcomes(x.command).ok.add(1);
-        }
-    }
-
-    /** A node broke off in the middle of a value. */
-    void relayBroken(Exchange x) {
-        figures.active.add(-1);
-        outcomes(x.command).errors.add(1);
-    }
-
-    Future<?> every(int ms, Runnable task) {
-        return loop.scheduleAtFixedRate(task, ms, ms, TimeUnit.MILLISECONDS);
-    }
-
     // ---- the module's actions ----
 
     @Override
@@ -581,7 +546,10 @@
         loop.execute(() -> {
             draining = true;
             log.line("ending: " + table.size() + " requests open, " + sessions.size() + " connections");
-            handingOver = transport.leaveToOthers(listener);
+            handingOver = transport.shared();
+            if (handingOver) {
+                listener.config().setAutoRead(false);
+            }
             loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
         });
         return drained;
--- a/src/main/java/holdproxy/net/Relay.java
+++ b/src/main/java/holdproxy/net/Relay.java
@@ -11,25 +11,18 @@
  * 64 KiB at its client's and what was read at once.
  */
 final class Relay {
-    /** Relays may hold so much together; past that only one that holds nothing of its own goes on. */
-    private static final long MOST_HELD_BYTES = 12L << 20;
     /** A node that gives nothing for so long has gone silent. */
     private static final long NODE_SILENT_US = 5_000_000;
     /** So has a client that takes nothing. */
     private static final long CLIENT_SILENT_US = 10_000_000;
     private static final int LOOK_MS = 500;
 
-    /** What all relays of a proxy hold. */
-    static final class Held {
-        private long bytes;
-    }
-
     private final Proxy proxy;
+    private final Relays all;
     private final Attempt attempt;
     private final NodeConnection node;
     private final ClientSession session;
     private final ClientSession.Slot slot;
-    private final Held all;
     /** What has come before it is this value's turn. */
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private final Future<?> look;
@@ -40,7 +33,7 @@
     private boolean reading = true;
     private long movedUs;
 
-    Relay(Proxy proxy, Attempt attempt, NodeConnection node, ByteBuf head, Held all) {
+    Relay(Proxy proxy, Relays all, Attempt attempt, NodeConnection node, ByteBuf head) {
         this.proxy = proxy;
         this.attempt = attempt;
         this.node = node;
@@ -94,7 +87,7 @@
             }
         }
         if (!whole && !over) {
-            boolean room = session.hasRoom() && (held == 0 || all.bytes < MOST_HELD_BYTES);
+            boolean room = session.hasRoom() && (held == 0 || all.room());
             read(turn && room && waiting.isEmpty());
         }
     }
@@ -111,13 +104,13 @@
         int size = bytes.readableBytes();
         boolean last = whole && waiting.isEmpty();
         held += size;
-        all.bytes += size;
+        all.hold(size);
         session.write(bytes).addListener(f -> {
             held -= size;
-            all.bytes -= size;
+            all.hold(-size);
             movedUs = proxy.now();
             if (last) {
-                proxy.relayed(attempt.exchange, f.isSuccess());
+                all.taken(attempt.exchange, f.isSuccess());
             } else if (held == 0) {
                 pump();
             }
@@ -142,7 +135,7 @@
     void brokenOff() {
         if (!over) {
             ended();
-            proxy.relayBroken(attempt.exchange);
+            all.broken(attempt.exchange);
             session.abort();
         }
     }
@@ -151,7 +144,7 @@
     void clientGone() {
         if (!over) {
             ended();
-            proxy.relayed(attempt.exchange, false);
+            all.taken(attempt.exchange, false);
             node.abandon(attempt);
         }
     }
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -26,6 +26,8 @@
     private static final int REFRESH_MS = 200;
     /** The folder for them in {@code TMPDIR}. */
     private static final String KEPT = "left-out";
+    /** So long clients are left to another process until discovery has told this one of the nodes. */
+    private static final int FIRST_LIST_MS = 2_000;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
 
@@ -83,6 +85,10 @@
                 }
                 return null;
             }).get();
+            if (inherited != null) {
+                // the other process serves on meanwhile; what it knows of the nodes this one should know too
+                proxy.members().first().await(FIRST_LIST_MS);
+            }
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
                 // after a restart the one before may hold the address a moment longer
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -67,10 +67,9 @@
             .bind(address);
     }
 
-    /** An inherited socket is not closed: the platform would then send the log to nowhere. */
+    /** An inherited socket is never closed: the JDK would then send the log to nowhere. */
     @Override
-    public boolean leaveToOthers(Channel listener) {
-        listener.config().setAutoRead(inherited == null);
+    public boolean shared() {
         return inherited != null;
     }
 
--- a/src/main/java/holdproxy/net/Transport.java
+++ b/src/main/java/holdproxy/net/Transport.java
@@ -17,11 +17,8 @@
     /** Listens; each connection that comes gets handlers of its own. Closing the future's channel ends it. */
     ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers);
 
-    /**
-     * Takes no more connections where other processes listen on the same socket, which stays open for them;
-     * false, and nothing done, where this process alone does.
-     */
-    default boolean leaveToOthers(Channel listener) {
+    /** Whether other processes listen on the same socket, which then stays open for them. */
+    default boolean shared() {
         return false;
     }
 
--- /dev/null
+++ b/src/test/java/holdproxy/net/UpgradeTest.java
@@ -0,0 +1,163 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two proxies on one listening socket, as two processes have it in an upgrade. */
+@Timeout(60)
+class UpgradeTest {
+    private final Peer.Listener node = new Peer.Listener();
+    private final Peer.Listener discovery = new Peer.Listener();
+    private final List<EventLoop> loops = new ArrayList<>();
+    private ServerSocketChannel socket;
+    private Path file;
+    private String entry;
+
+    UpgradeTest() throws Exception {
+    }
+
+    @BeforeEach
+    void listen(@TempDir Path folder) throws Exception {
+        socket = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
+        file = folder.resolve("config.json");
+        entry = "{\"id\":\"s-0\",\"addr\":\"" + node.address() + "\",\"state\":\"SERVING\"}";
+        Files.writeString(file, Fixture.json(Fixture.list(1, true, entry), Fixture.SETTINGS, 1024));
+        Thread telling = new Thread(this::tell, "discovery");
+        telling.setDaemon(true);
+        telling.start();
+    }
+
+    /** Discovery gives each that calls the list of the start. */
+    private void tell() {
+        try {
+            while (true) {
+                Peer watch = discovery.next();
+                for (String line = watch.line(); !line.isEmpty(); line = watch.line()) {
+                    // the request's lines
+                }
+                watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                Fixture.chunk(watch, Fixture.list(2, true, entry));
+            }
+        } catch (IOException | InterruptedException | AssertionError e) {
+            // the test is over
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (EventLoop loop : loops) {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+        socket.close();
+        node.close();
+        discovery.close();
+    }
+
+    private Proxy process() throws Exception {
+        EventLoop loop = Service.loop();
+        loops.add(loop);
+        return Service.start(Config.load(Fixture.env(file, discovery.address())), loop, socket, null);
+    }
+
+    private Peer client() throws Exception {
+        return Peer.to((InetSocketAddress) socket.getLocalAddress());
+    }
+
+    private Peer greeted() throws Exception {
+        Peer p = client();
+        p.send("mn\r\n");
+        p.expect("MN");
+        return p;
+    }
+
+    @Test
+    void theOldOneTakesNothingNewAnswersWhatItTookAndEndsEachConnectionBehindAnAnswer() throws Exception {
+        Proxy old = process();
+        Peer waiting = greeted();
+        Peer used = greeted();
+        Peer idle = greeted();
+        waiting.send(Fixture.read("a1", 4000));
+        Peer served = node.next();
+        served.line();
+        Proxy fresh = process();
+        assertTrue(fresh.takesClients());
+        Future<Void> end = old.end(1000);
+        loops.get(0).submit(() -> { }).sync();
+        assertFalse(old.takesClients());
+        for (int i = 0; i < 20; i++) {
+            Peer p = greeted(); // each by the new one: the old one would end it behind its answer
+            p.send("mn\r\n");
+            p.expect("MN");
+            p.close();
+        }
+        used.send("mn\r\n");
+        used.expect("MN");
+        used.expectEnd();
+        assertFalse(end.isDone());
+        served.send("VA 1 Oa1\r\n1\r\n");
+        waiting.expect("VA 1 Oa1", "1");
+        waiting.expectEnd();
+        idle.expectEnd(); // when the time for it is over
+        for (Peer p : List.of(waiting, used, idle)) {
+            p.close();
+        }
+        assertTrue(end.await(5000));
+        assertTrue(socket.isOpen(), "closing it would end the process's log");
+        greeted().close();
+    }
+
+    @Test
+    void anUpgradeDuringAnUpgradeLeavesTheLatestOneServing() throws Exception {
+        Proxy first = process();
+        Proxy second = process();
+        Proxy third = process();
+        first.end(10);
+        second.end(10);
+        for (int i : new int[] {0, 1}) {
+            loops.get(i).submit(() -> { }).sync();
+        }
+        Peer p = greeted();
+        p.send("mn\r\n");
+        p.expect("MN");
+        assertTrue(third.takesClients());
+    }
+
+    @Test
+    void clientsAreLeftToTheOldOneUntilDiscoveryHasToldTheNewOneOfTheNodes() throws Exception {
+        process();
+        Proxy fresh = process();
+        assertTrue(fresh.takesClients());
+        assertTrue(fresh.members().first().isDone(), "it took clients before it had a list");
+    }
+
+    @Test
+    void twoProcessesTogetherStayWithinTheBoundOnDescriptors() {
+        for (int most : new int[] {256, 384, 512, 1024}) {
+            Descriptors each = Descriptors.of(most, true);
+            assertTrue(each.clients() + Descriptors.REFUSING + 2 * each.nodes() + 2 * 48 <= most, most + ": " + each);
+            assertTrue(each.nodes() >= 16, most + ": " + each);
+            assertNotEquals(each, Descriptors.of(most, false));
+            assertEquals(most - 48, Descriptors.of(most, false).clients() + Descriptors.of(most, false).nodes()
+                + Descriptors.REFUSING);
+        }
+    }
+}
