Lab: nodes left out by hand, retuning, and auditors of bans and of figures

Change: faults leave_out and retune among the drawn ones; auditors 'left out' and 'figures', each with a planted fault; 'attempts' goes by the settings of the request's time.

--- a/src/main/java/holdproxy/lab/Event.java
+++ b/src/main/java/holdproxy/lab/Event.java
@@ -33,6 +33,12 @@
         UP,
         /** Discovery wrote a node's state to a proxy; where: the proxy, id: the node, detail: the state. */
         TOLD,
+        /** Operators left a node out at a proxy, or used it again; id: the node, detail: out or back. */
+        OUT,
+        /** A proxy has taken settings; detail: attempts. */
+        RETUNED,
+        /** What a proxy shows operators at the end; detail: ok, shed, errors, tries and active. */
+        FIGURES,
         /** Something was done to a host; detail: what. */
         FAULT
     }
--- a/src/main/java/holdproxy/lab/Fault.java
+++ b/src/main/java/holdproxy/lab/Fault.java
@@ -33,6 +33,10 @@
         RESETS(EnumSet.of(Figure.FOR_S, Figure.NODE, Figure.PART, Figure.CHANCE)),
         /** A node drains and is replaced by another that starts cold; a part of them one after another. */
         REPLACE(EnumSet.of(Figure.FOR_S, Figure.NODE, Figure.PART)),
+        /** Operators leave a node out at every proxy, start it anew meanwhile, and use it again. */
+        LEAVE_OUT(EnumSet.of(Figure.FOR_S, Figure.NODE, Figure.PART)),
+        /** Every proxy is given settings with one attempt, and afterwards those of before. */
+        RETUNE(EnumSet.of(Figure.FOR_S)),
         /** A proxy is told to end (SIGTERM) and started again after its time. */
         RESTART(EnumSet.of(Figure.FOR_S, Figure.PROXY)),
         /** A proxy dies and is started again after its time; the front notices later. */
--- a/src/main/java/holdproxy/lab/Scenario.java
+++ b/src/main/java/holdproxy/lab/Scenario.java
@@ -113,6 +113,8 @@
             case SLOW -> new Fault(kind, atS, forS, 0, node, part, times, 0);
             case RESETS -> new Fault(kind, atS, forS, 0, node, part, 0, random.nextDouble(0.05, 0.5));
             case REPLACE -> new Fault(kind, atS, forS, 0, node, 2 * part, 0, 0);
+            case LEAVE_OUT -> new Fault(kind, atS, forS, 0, node, part, 0, 0);
+            case RETUNE -> new Fault(kind, atS, forS, 0, 0, 0, 0, 0);
             case RESTART -> new Fault(kind, atS, forS / 4, 0, proxy, 0, 0, 0);
             case KILL -> new Fault(kind, atS, forS, Math.min(noticedS, 3.8), proxy, 0, 0, 0);
             case HOLD -> new Fault(kind, atS, forS / 8, 0, proxy, 0, 0, 0);
--- a/src/main/java/holdproxy/lab/Troubles.java
+++ b/src/main/java/holdproxy/lab/Troubles.java
@@ -48,6 +48,10 @@
                 town.clients.surge(f.target(), f.times());
                 after(f, () -> town.clients.surge(f.target(), 1));
             }
+            case RETUNE -> {
+                town.proxies.forEach(p -> p.retune(1));
+                after(f, () -> town.proxies.forEach(p -> p.retune(Town.ATTEMPTS)));
+            }
             case HOT_KEY -> {
                 town.clients.hot(f.part());
                 after(f, () -> town.clients.hot(0));
@@ -87,6 +91,7 @@
                     later(ADDED_S, () -> town.relist(node));
                 });
             }
+            case LEAVE_OUT -> leaveOut(f, node, place);
             case RESETS -> {
                 town.resets(node, f.chance());
                 after(f, () -> town.resets(node, 0));
@@ -98,6 +103,22 @@
         }
     }
 
+    private void leaveOut(Fault f, CacheNode node, int place) {
+        town.proxies.forEach(p -> p.leaveOut(node.name, true));
+        later(DRAIN_S / 2, () -> {
+            if (node.up() && town.nodes.get(place) == node) {
+                node.end("end");
+                later(SUCCEEDS_S, () -> {
+                    if (!node.up() && town.nodes.get(place) == node) {
+                        node.startCold();
+                        later(ADDED_S, () -> town.relist(node));
+                    }
+                });
+            }
+        });
+        after(f, () -> town.proxies.forEach(p -> p.leaveOut(node.name, false)));
+    }
+
     private void replace(int place) {
         CacheNode node = town.nodes.get(place);
         if (!node.up() || node.drains()) {
--- a/src/main/java/holdproxy/net/Members.java
+++ b/src/main/java/holdproxy/net/Members.java
@@ -100,4 +100,9 @@
         }
         leaveOut(node, out, atUs);
     }
+
+    /** What only the module knows of the figures. */
+    void refresh() {
+        proxy.figures().poolEjected.set(proxy.router.avoided(proxy.now()));
+    }
 }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -53,8 +53,7 @@
     private final Command.Names names = new Command.Names();
     private final NodePools pools;
     private final Discovery discovery;
-    final Router router;
-    private final Choice choice;
+    final Choice router;
     private final Tally told = new Tally();
     private final Figures figures = new Figures();
     private final Map<Long, Exchange> table = new HashMap<>();
@@ -97,8 +96,7 @@
         pools = new NodePools(this, config, loop, log, bound.nodes(), transport);
         discovery = new Discovery(this, config, transport, log);
         members = new Members(this, pools, discovery, log, loop.newPromise());
-        choice = new Choice(config.settings, config.seed, now(), this);
-        router = choice;
+        router = new Choice(config.settings, config.seed, now(), this);
     }
 
     /**
@@ -119,7 +117,7 @@
     }
 
     /** SIGHUP: the settings and discovery's address are those of this file from here on. */
-    void taken(Config now) {
+    public void taken(Config now) {
         discovery.moved(now.discovery);
         Router.RequestClass[] classes = now.settings.classes;
         now.settings.tenants = Retuning.tenants(settings.tenants, now.settings.tenants);
@@ -193,7 +191,7 @@
     /** What was counted, on a line of its own: the logs of a whole fleet can be added up by it. */
     private void countLater() {
         loop.schedule(() -> {
-            String counted = choice.tally.sinceThen(told) + pools.counted();
+            String counted = router.tally.sinceThen(told) + pools.counted();
             if (!counted.isEmpty()) {
                 log.line("counted:" + counted);
             }
@@ -424,13 +422,13 @@
         members.told(kind, entries);
     }
 
-    Members members() {
-        return members;
+    /** Operators' call, which holds from now on. */
+    public void leaveOut(String node, boolean out) {
+        members.leaveOut(node, out, now());
     }
 
-    /** What only the module knows of the figures. */
-    void refresh() {
-        figures.poolEjected.set(choice.avoided(now()));
+    Members members() {
+        return members;
     }
 
     // ---- the module's actions ----
@@ -575,7 +573,7 @@
 
     // ---- what operators read ----
 
-    Figures figures() {
+    public Figures figures() {
         return figures;
     }
 
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -152,7 +152,7 @@
                 .listen(config.console, listening -> { });
             console.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         });
-        loop.scheduleAtFixedRate(proxy::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(proxy.members()::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
     }
 
     /** What the process before, or the other one in an upgrade, was told of nodes left out. */
--- a/src/test/java/holdproxy/lab/AuditorsTest.java
+++ b/src/test/java/holdproxy/lab/AuditorsTest.java
@@ -1,5 +1,6 @@
 package holdproxy.lab;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -150,6 +151,49 @@
         }
     }
 
+    @Test
+    void aSendToANodeLeftOutIsFoundAndNoneAfterItIsUsedAgain() {
+        for (boolean back : new boolean[] {false, true}) {
+            try (Town town = new Town(SMALL)) {
+                town.at(1, () -> town.proxies.get(0).leaveOut("s-4", true));
+                if (back) {
+                    town.at(1.8, () -> town.proxies.get(0).leaveOut("s-4", false));
+                }
+                town.at(2, () -> sendToo(town.network.process("proxy-0", town.loop), 4, Unpooled.copiedBuffer(
+                    "mg a1 v Off Pc=card-check,d=500\r\n", StandardCharsets.ISO_8859_1), 1));
+                town.play();
+                assertEquals(back, Auditors.leftOut(town.record.events()).isEmpty());
+            }
+        }
+    }
+
+    @Test
+    void figuresThatCountAnAnswerNoClientGotAreFound() {
+        assertTrue(Auditors.figures(play(false, n -> (text, bytes) -> bytes)).isEmpty());
+        assertFalse(Auditors.figures(play(false, n -> nth(50, (text, bytes) -> text.startsWith("VA ")
+            ? Unpooled.copiedBuffer("SERVER_ERROR failed\r\n", StandardCharsets.ISO_8859_1) : bytes))).isEmpty());
+    }
+
+    @Test
+    void triesThatNodesGotAndTheProxyDoesNotCountAreFound() {
+        assertFalse(Auditors.figures(play(true, n -> nth(20, (text, bytes) -> {
+            sendToo(n, 5, bytes, 1);
+            return bytes;
+        }))).isEmpty());
+    }
+
+    @Test
+    void anAttemptBeyondTheSettingsOfItsTimeIsFound() {
+        try (Town town = new Town(SMALL, n -> new Planted(n, true, nth(20, (text, bytes) -> {
+            sendToo(n, 5, bytes, 1);
+            return bytes;
+        })))) {
+            town.at(1, () -> town.proxies.forEach(p -> p.retune(1)));
+            town.play();
+            assertFalse(Auditors.attempts(town.record.events()).isEmpty());
+        }
+    }
+
     /** A node starts cold, all know it, and each command goes to it so many times over. */
     private static List<String> rushed(int times) {
         try (Town town = new Town(SMALL, n -> new Planted(n, true, (text, bytes) -> {
--- a/src/test/java/holdproxy/lab/TownTest.java
+++ b/src/test/java/holdproxy/lab/TownTest.java
@@ -37,6 +37,12 @@
         keepsTheRules(Play.of(troubled(2)), 0.8);
     }
 
+    @Test
+    void operatorsLeaveNodesOutAndRetuneWhileProxiesComeAndGo() {
+        keepsTheRules(Play.of(small(8, fault(Fault.Kind.LEAVE_OUT, 2, 4, 1), fault(Fault.Kind.LEAVE_OUT, 3, 5, 2),
+            fault(Fault.Kind.RETUNE, 4, 3, 0), fault(Fault.Kind.RESTART, 5, 1, 0), fault(Fault.Kind.KILL, 8, 1, 1))), 0.8);
+    }
+
     @Test
     void aProxyThatStandsStillIsFoundOutAndExcused() {
         Play play = Play.of(small(3, fault(Fault.Kind.HOLD, 4, 2, 0)));
