--- a/deploy/ArchiveStandIn.java
+++ b/deploy/ArchiveStandIn.java
@@ -52,7 +52,8 @@
                     watch(out, port);
                 } else if (id > 0) {
                     String opaque = line.substring(id + 1).split(" ")[0];
-                    write(out, line.startsWith("mg") ? "VA 5 " + opaque + "\r\nhello\r\n" : "HD " + opaque + " c1\r\n");
+                    write(out, line.startsWith("mg bbbb ") ? "VA 70000 " + opaque + "\r\n" + "x".repeat(70000) + "\r\n"
+                        : line.startsWith("mg") ? "VA 5 " + opaque + "\r\nhello\r\n" : "HD " + opaque + " c1\r\n");
                 }
             }
         } catch (IOException e) {
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -149,7 +149,8 @@
         console = loop();
         console.execute(() -> {
             new Console(console, this, line -> loop.execute(() -> proxy.log(line)))
-                .listen(config.console, listening -> { });
+                .listen(config.console,
+                    listening -> say("the console listens on " + listening.localAddress()));
             console.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         });
         loop.scheduleAtFixedRate(proxy.members()::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
