A relay that is whole, or not yet due, is not taken for a silent node or client

Cause: found on reading Relay.look again: a value that was whole before its turn closed the node's connection after 5 s, which may serve others by then, and one that waited long for its turn closed its client. An attempt whose large value came second was told to the module as a reset of a sound node. Change: silence counts only in a relay's turn, a node's only until its value is whole; the late copy is told as served. Measured: the new test fails without the change (the connection closed after 5 s).

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -166,8 +166,11 @@
             inPieces = true;
             relayed = answer;
             relay = a.over ? null : pool.pools.proxy.relays.begin(a, answer, this);
-            if (relay == null && !anyWaitingBehind()) {
-                close(); // 4 MiB that nobody waits for cost more than a new connection
+            if (relay == null) {
+                end(a, answer.outcome, answer); // it stays in line for its pieces
+                if (!anyWaitingBehind()) {
+                    close(); // 4 MiB that nobody waits for cost more than a new connection
+                }
             }
             return;
         }
--- a/src/main/java/holdproxy/net/Relay.java
+++ b/src/main/java/holdproxy/net/Relay.java
@@ -117,13 +117,16 @@
         });
     }
 
-    /** A cut-off machine says nothing for ever, and so may a client. */
+    /** A cut-off machine says nothing for ever, a client may take nothing; neither can before its turn. */
     private void look() {
-        long still = proxy.now() - movedUs;
-        if (!over && still > (reading ? NODE_SILENT_US : CLIENT_SILENT_US)) {
-            proxy.log(reading ? "node " + node.pool.name + " fell silent in the middle of a value"
+        boolean turn = session.turnOf(slot);
+        boolean ofNode = reading && !whole;
+        if (!turn) {
+            movedUs = proxy.now();
+        } else if (!over && proxy.now() - movedUs > (ofNode ? NODE_SILENT_US : CLIENT_SILENT_US)) {
+            proxy.log(ofNode ? "node " + node.pool.name + " fell silent in the middle of a value"
                 : "a client takes nothing of its value: closed");
-            if (reading) {
+            if (ofNode) {
                 node.close(); // which ends this
             } else {
                 session.abort();
--- a/src/test/java/holdproxy/net/RelayTest.java
+++ b/src/test/java/holdproxy/net/RelayTest.java
@@ -202,6 +202,22 @@
         assertEquals("2/0/0 active 0", counts());
     }
 
+    @Test
+    void oneThatIsWholeBeforeItsTurnWaitsForItHoweverLongThatTakes() {
+        EmbeddedChannel first = begun("a1", MIB);
+        EmbeddedChannel second = begun("a2", 70_000);
+        second.writeInbound(Unpooled.wrappedBuffer(new byte[70_000]), bytes("\r\n")); // read at once
+        for (int i = 0; i < 15; i++) {
+            pass(1000);
+            first.writeInbound(Unpooled.wrappedBuffer(new byte[1000]));
+        }
+        assertTrue(client.isActive());
+        assertTrue(second.isActive(), "its connection may serve others already");
+        first.writeInbound(Unpooled.wrappedBuffer(new byte[MIB - 15_000]), bytes("\r\n"));
+        assertEquals("VA 1048576 Oa1\r\nVA 70000 Oa2\r\n".length() + MIB + 70_000 + 4, taken(client).length);
+        assertEquals("2/0/0 active 0", counts());
+    }
+
     @Test
     void aNodeIsReadFromOnlyWhileTheClientTakesWhatItGives() {
         EmbeddedChannel node = begun("a1", MIB);
