--- a/src/test/java/holdproxy/net/LatenessTest.java
+++ b/src/test/java/holdproxy/net/LatenessTest.java
@@ -6,19 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.policy.Router;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -30,8 +25,7 @@
     private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
     private Proxy proxy;
     private EmbeddedChannel client;
-    /** The latest connection to the only node. */
-    private EmbeddedChannel node;
+    private final EmbeddedNodes transport = new EmbeddedNodes();
 
     @BeforeEach
     void start(@TempDir Path folder) throws IOException {
@@ -39,23 +33,7 @@
         Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
         Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
         Time time = new Time(ticker, () -> 0);
-        proxy = new Proxy(config, timers.eventLoop(), time, new Transport() {
-            @Override
-            public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
-                node = new EmbeddedChannel(handlers);
-                return node.newSucceededFuture();
-            }
-
-            @Override
-            public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
-                throw new UnsupportedOperationException("clients come by hand");
-            }
-
-            @Override
-            public void endSending(Channel channel) {
-                channel.close();
-            }
-        }, new Log(time));
+        proxy = new Proxy(config, timers.eventLoop(), time, transport, new Log(time));
         proxy.nodes(Router.ListKind.CACHED,
             List.of(new Discovery.Entry(new Router.Node(), "node", config.listen)));
         client = new EmbeddedChannel(proxy.handlers());
@@ -138,7 +116,7 @@
     private int refusedOrAnswered(String id) {
         String refusal = text(client);
         if (refusal.isEmpty()) {
-            node.writeInbound(bytes("VA 5 O" + id + "\r\nhello\r\n"));
+            transport.latest().writeInbound(bytes("VA 5 O" + id + "\r\nhello\r\n"));
             assertTrue(text(client).startsWith("VA 5 O" + id));
         }
         return refusal.isEmpty() ? 0 : 1;
--- a/src/test/java/holdproxy/net/RelayTest.java
+++ b/src/test/java/holdproxy/net/RelayTest.java
@@ -5,24 +5,19 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.io.ByteArrayOutputStream;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
-import holdproxy.policy.Router;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -33,7 +28,8 @@
 
     private final MockTicker ticker = Ticker.newMockTicker();
     private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
-    private final List<EmbeddedChannel> nodes = new ArrayList<>();
+    private final EmbeddedNodes transport = new EmbeddedNodes();
+    private final List<EmbeddedChannel> nodes = transport.all;
     private final List<Discovery.Entry> entries = new ArrayList<>();
     private Proxy proxy;
     private EmbeddedChannel client;
@@ -45,26 +41,7 @@
             Fixture.SETTINGS.replace("\"secondCopies\":false", "\"secondCopies\":true"), 1024));
         Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
         Time time = new Time(ticker, () -> 0);
-        proxy = new Proxy(config, timers.eventLoop(), time, new Transport() {
-            @Override
-            public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
-                EmbeddedChannel node = new EmbeddedChannel(handlers);
-                if (address.getPort() != 1) { // discovery's
-                    nodes.add(node);
-                }
-                return node.newSucceededFuture();
-            }
-
-            @Override
-            public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
-                throw new UnsupportedOperationException("clients come by hand");
-            }
-
-            @Override
-            public void endSending(Channel channel) {
-                channel.close();
-            }
-        }, new Log(time, line -> { }));
+        proxy = new Proxy(config, timers.eventLoop(), time, transport, new Log(time, line -> { }));
         for (int i = 0; i < 4; i++) {
             Router.Node n = new Router.Node();
             n.id = i + 1;
