A watchdog logs where the request loop stands when it stands still

Looked into: discovery's ReadTimeoutException at 15.26 is its effect; the log cannot tell the loop from the process. Change: the console's thread looks ten times a second and logs the loop's frames after 0.7 s, or that the process stood.

--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -147,6 +147,11 @@
 
     private void console(Config config) {
         console = loop();
+        Time time = Time.system();
+        Log own = new Log(time);
+        Watchdog watchdog = new Watchdog(loopThread(), time.us(), own::line);
+        loop.scheduleAtFixedRate(() -> watchdog.beat(time.us()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        console.scheduleAtFixedRate(() -> watchdog.look(time.us()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         console.execute(() -> {
             new Console(console, this, line -> loop.execute(() -> proxy.log(line)))
                 .listen(config.console,
@@ -156,6 +161,14 @@
         loop.scheduleAtFixedRate(proxy.members()::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
     }
 
+    private Thread loopThread() {
+        try {
+            return loop.submit(Thread::currentThread).get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new BadInput("interrupted");
+        }
+    }
+
     /** What the process before, or the other one in an upgrade, was told of nodes left out. */
     private void look() {
         try {
