A started proxy knows that it takes clients before its start returns

Cause: UpgradeTest failed once of five runs: start waits for the bind, and the flag that check reads is set by a listener of the same future, on the loop, perhaps a moment later; check could then say ERR for an instant. Change: start waits one turn of the loop. UpgradeTest, FiguresTest, LeftOutTest and RetuningTest pass.

--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -98,6 +98,7 @@
             if (!bound.isSuccess()) {
                 throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
             }
+            loop.submit(() -> { }).get(); // the proxy itself has heard of it, and says so
             return proxy;
         } catch (ExecutionException e) {
             throw new BadInput("cannot start: " + e.getCause().getMessage());
