--- a/src/main/java/holdproxy/policy/Blue.java
+++ b/src/main/java/holdproxy/policy/Blue.java
@@ -4,6 +4,9 @@
 
 /** FAIR's table: levels x buckets, each a value and its last update; values fade exponentially with time. */
 final class Blue {
+    /** A trial always gets through: no bucket refuses or passes over more often than this. */
+    static final double CHANCE_MOST = 0.98;
+
     private final int levels;
     private final int buckets;
     private double fadeUs;
@@ -21,21 +24,6 @@
         updated = new long[levels * buckets];
     }
 
-    static long mix(long h) {
-        h = (h ^ h >>> 30) * 0xbf58476d1ce4e5b9L;
-        h = (h ^ h >>> 27) * 0x94d049bb133111ebL;
-        return h ^ h >>> 31;
-    }
-
-    /** A hash as a number from 0 up to 1. */
-    static double unit(long hash) {
-        return (hash >>> 11) * 0x1p-53;
-    }
-
-    static double faded(double value, long since, long now, double fadeUs) {
-        return value == 0 ? 0 : value * Math.exp((since - now) / fadeUs);
-    }
-
     /** Kirsch and Mitzenmacher: one hash gives the buckets of all levels. */
     private int bucket(long hash, int level) {
         int h = (int) hash + level * ((int) (hash >>> 32) | 1);
@@ -43,21 +31,21 @@
     }
 
     double min(long id, long now) {
-        long hash = mix(id ^ seed);
+        long hash = Random.mix(id ^ seed);
         double least = Double.MAX_VALUE;
         for (int level = 0; level < levels && least > 0; level++) {
             int b = bucket(hash, level);
-            least = Math.min(least, faded(value[b], updated[b], now, fadeUs));
+            least = Math.min(least, Fading.faded(value[b], updated[b], now, fadeUs));
         }
         return least;
     }
 
     /** Adds a step, up or down, to the bucket of each level, within 0 and {@code most}. */
     void add(long id, double step, double most, long now) {
-        long hash = mix(id ^ seed);
+        long hash = Random.mix(id ^ seed);
         for (int level = 0; level < levels; level++) {
             int b = bucket(hash, level);
-            double v = faded(value[b], updated[b], now, fadeUs) + step;
+            double v = Fading.faded(value[b], updated[b], now, fadeUs) + step;
             value[b] = (float) Math.max(0, Math.min(most, v));
             updated[b] = now;
         }
--- a/src/main/java/holdproxy/policy/Fading.java
+++ b/src/main/java/holdproxy/policy/Fading.java
@@ -26,7 +26,7 @@
     }
 
     double get(long now) {
-        return Blue.faded(value, updated, now, fadeUs);
+        return faded(value, updated, now, fadeUs);
     }
 
     /** Adds a step, up or down, within 0 and {@code most}; returns the new value. */
@@ -49,4 +49,8 @@
         value = newValue;
         updated = now;
     }
+
+    static double faded(double value, long since, long now, double fadeUs) {
+        return value == 0 ? 0 : value * Math.exp((since - now) / fadeUs);
+    }
 }
--- a/src/main/java/holdproxy/policy/Fleet.java
+++ b/src/main/java/holdproxy/policy/Fleet.java
@@ -3,8 +3,12 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 
-/** The node list as last told, without what is gone and has nothing out; and flat arrays of what is ready. */
+/**
+ * The node list as last told, without what is gone and has nothing out; and flat arrays of what takes
+ * requests, which {@link Target#takesNew} says: this only keeps the books.
+ */
 final class Fleet {
     private final LongMap<Target> byId = new LongMap<>();
     private final boolean aside;
@@ -18,8 +22,6 @@
     double[] inverseWeight = new double[0];
     int readyCount;
     Target[] origins = new Target[0];
-    private Target[] top = new Target[0];
-    private double[] topScore = new double[0];
 
     Fleet(Router.Settings settings) {
         aside = settings.aside;
@@ -48,6 +50,7 @@
         Target t = byId.get(id);
         if (t == null) {
             t = new Target(n.id);
+            t.leftOut = leftOut.contains(n.id);
             byId.put(id, t);
             if (knownCount == known.length) {
                 known = Arrays.copyOf(known, 2 * knownCount);
@@ -77,18 +80,17 @@
                 t.back(at);
             }
         }
+        if (t != null) {
+            t.leftOut = out;
+        }
         arrange();
     }
 
-    /** Listed nodes that nothing is sent to, or that are passed over by more than this beyond the usual. */
-    int avoided(double usual, double most, long now) {
+    /** How many of the nodes are so. */
+    int count(Predicate<Target> so) {
         int count = 0;
         for (int i = 0; i < knownCount; i++) {
-            Target t = known[i];
-            boolean listed = t.state != Router.NodeState.GONE;
-            if (listed && (leftOut.contains(t.id) || t.down(now) || t.chance.get(now) - usual > most)) {
-                count++;
-            }
+            count += so.test(known[i]) ? 1 : 0;
         }
         return count;
     }
@@ -121,7 +123,7 @@
         int originCount = 0;
         for (int i = 0; i < knownCount; i++) {
             Target t = known[i];
-            if (t.state != Router.NodeState.READY || leftOut.contains(t.id)) {
+            if (!t.takesNew()) {
                 continue;
             }
             if (isOrigin(t)) {
@@ -129,40 +131,9 @@
                 continue;
             }
             ready[readyCount] = t;
-            salt[readyCount] = Blue.mix(t.id);
+            salt[readyCount] = Random.mix(t.id);
             inverseWeight[readyCount++] = 1 / t.weight;
         }
         origins = Arrays.copyOf(found, originCount);
     }
-
-    /**
-     * Weighted rendezvous hashing: the nodes with the lowest of about exp(1)/weight, best first. The array is
-     * reused by the next call and ends with null where fewer are ready.
-     */
-    Target[] rank(long key, int wanted) {
-        if (top.length < wanted) {
-            top = new Target[wanted];
-            topScore = new double[wanted];
-        }
-        Arrays.fill(top, null);
-        int topCount = 0;
-        int most = Math.min(wanted, readyCount);
-        double worst = Double.MAX_VALUE;
-        for (int i = 0; i < readyCount; i++) {
-            double x = Blue.unit(Blue.mix(key ^ salt[i]));
-            double score = x * (1 + 0.5 * x) * inverseWeight[i];
-            if (topCount == most && score >= worst) {
-                continue;
-            }
-            int j = topCount < most ? topCount++ : most - 1;
-            for (; j > 0 && topScore[j - 1] > score; j--) {
-                top[j] = top[j - 1];
-                topScore[j] = topScore[j - 1];
-            }
-            top[j] = ready[i];
-            topScore[j] = score;
-            worst = topScore[topCount - 1];
-        }
-        return top;
-    }
 }
--- a/src/main/java/holdproxy/policy/Open.java
+++ b/src/main/java/holdproxy/policy/Open.java
@@ -75,4 +75,31 @@
         }
         return false;
     }
+
+    /** No repeated effect: whether another attempt may go to this node now. */
+    boolean mayGoTo(Target t, Router.Settings set, long now) {
+        if (type.effect == Router.Effect.SAFE || mayHaveRun == 0) {
+            return true;
+        }
+        if (type.effect == Router.Effect.UNSAFE) {
+            return false;
+        }
+        int first = Integer.numberOfTrailingZeros(mayHaveRun);
+        // what is sent now may wait for a connection, and must still arrive within the window
+        if (now - sentAt[first] >= type.repeatWindowUs - 2 * set.tickUs - set.dialTimeoutUs) {
+            return false;
+        }
+        Target ran = node[first];
+        return switch (type.group) {
+            case ALL -> true;
+            case ZONE -> ran.zone == t.zone;
+            case CELL -> ran.cell == t.cell;
+        };
+    }
+
+    /** No repeated effect: a refusal promises that trying again is harmless. */
+    boolean mayRefuse() {
+        return type.effect == Router.Effect.SAFE || mayHaveRun == 0
+                || type.effect == Router.Effect.KEYED && type.group == Router.Group.ALL;
+    }
 }
--- /dev/null
+++ b/src/main/java/holdproxy/policy/Placement.java
@@ -0,0 +1,209 @@
+package holdproxy.policy;
+
+import holdproxy.policy.Tally.Count;
+import java.util.Arrays;
+
+/** Which node a request goes to: hashed candidates past those that fail or warm up, the less busy taken. */
+final class Placement {
+    // Candidates ranked for a key: two, and spares for those that fail, warm up or were tried.
+    static final int CHOICES = 2;
+    static final int RANKED = 12;
+    // A tie goes to the second candidate if the first reports this much more of its cores busy.
+    static final double BUSY_TIE = 0.2;
+    // Without notes on hits the answers of reads tell how busy a node is, each by this much.
+    static final double BUSY_LEARN = 0.3;
+    // A time-out or late answer says less of a node than a broken connection, an error or a full queue.
+    static final double SOFT = 0.5;
+    static final double NODE_PI = 0.1;
+    static final double NODE_PI_MOST = 0.8;
+    static final double NODE_EVIDENCE_S = 3;
+    static final double NODE_PD_SHARE = 0.2;
+    // A quiet proxy comes by a node rarely: what it learnt there has to last for about this many visits.
+    static final double NODE_FADE_VISITS = 2;
+    static final double NODE_FADE_MOST_US = 60e6;
+    // What most nodes fail alike is no reason to pass one over: this part of the usual chance is let off.
+    static final double USUAL_PART = 0.7;
+    static final double USUAL_LEARN = 1.0 / 64;
+    // For people who count: passed over more often than not, a node is avoided.
+    static final double AVOIDED_FROM = 0.5;
+    // A key is hot when seen before this lately and when it alone would fill this share of a node's part.
+    static final double HOT_SEEN = 0.3;
+    static final double HOT_SHARE = 0.5;
+    static final double HEAT_US = 20e6;
+    static final int HEAT_BUCKETS = 256;
+    // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work. The
+    // load says how many keys fill it; no less than this is believed, as a proxy just started knows no rates.
+    static final double LOAD_LEAST = 0.6;
+    static final double COLD_PART = 0.75;
+
+    private final Fleet fleet;
+    private final Demand demand;
+    private final Random random;
+    private final Tally tally;
+    private final Blue heat;
+    private final Fading heatCount = new Fading(HEAT_US);
+    private final Target[] top = new Target[RANKED];
+    private final double[] topScore = new double[RANKED];
+    private Router.Settings set;
+    /** The median chance of the nodes that were sent to. */
+    private double usualNode;
+
+    Placement(Fleet fleet, Demand demand, Random random, Tally tally) {
+        this.fleet = fleet;
+        this.demand = demand;
+        this.random = random;
+        this.tally = tally;
+        heat = new Blue(Door.LEVELS, HEAT_BUCKETS, HEAT_US, random.next());
+    }
+
+    void settings(Router.Settings settings) {
+        set = settings;
+    }
+
+    /** A request for this key was let in. */
+    void wanted(long key, long now) {
+        if (key != 0) {
+            heat.add(key, 1, Double.MAX_VALUE, now);
+            heatCount.count(now);
+        }
+    }
+
+    /** Listed nodes that are avoided: left out by operators, down, or passed over more often than not. */
+    int avoided(long now) {
+        return fleet.count(t -> t.avoided(USUAL_PART * usualNode, AVOIDED_FROM, now));
+    }
+
+    /** Two hashed candidates and the one with fewer of our own requests in flight; ties keep to the first. */
+    Target choose(Open r, long now) {
+        long key = r.key != 0 ? r.key : random.next();
+        int copies = r.key != 0 ? hotCopies(r.key, now) : 1;
+        r.hot = copies > 1;
+        if (copies > 1) {
+            key ^= (long) (random.unit() * copies) << 48;
+        }
+        Target[] ranked = rank(key);
+        Target best = null;
+        int seen = 0;
+        for (int i = 0; i < ranked.length && ranked[i] != null && seen < CHOICES; i++) {
+            Target t = ranked[i];
+            if (!counted(Count.DOWN, t.down(now)) && !r.tried(t) && r.mayGoTo(t, set, now)
+                    && admits(t, r, key, now) && !passedOver(t, key, now)) {
+                best = seen++ == 0 || lessBusy(t, best, now) ? t : best;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Weighted rendezvous hashing: the nodes with the lowest of about exp(1)/weight, best first. The array is
+     * reused by the next call and ends with null where fewer are ready.
+     */
+    private Target[] rank(long key) {
+        Arrays.fill(top, null);
+        int topCount = 0;
+        int most = Math.min(RANKED, fleet.readyCount);
+        double worst = Double.MAX_VALUE;
+        for (int i = 0; i < fleet.readyCount; i++) {
+            double x = Random.unit(Random.mix(key ^ fleet.salt[i]));
+            double score = x * (1 + 0.5 * x) * fleet.inverseWeight[i];
+            if (topCount == most && score >= worst) {
+                continue;
+            }
+            int j = topCount < most ? topCount++ : most - 1;
+            for (; j > 0 && topScore[j - 1] > score; j--) {
+                top[j] = top[j - 1];
+                topScore[j] = topScore[j - 1];
+            }
+            top[j] = fleet.ready[i];
+            topScore[j] = score;
+            worst = topScore[topCount - 1];
+        }
+        return top;
+    }
+
+    private boolean counted(Count what, boolean so) {
+        if (so) {
+            tally.add(what);
+        }
+        return so;
+    }
+
+    /** Fewer of our own in flight; with few a proxy most are ties, which reported load decides. */
+    private static boolean lessBusy(Target t, Target best, long now) {
+        int more = t.inFlight - best.inFlight;
+        return more < 0 || more == 0 && best.busy.get(now) > t.busy.get(now) + BUSY_TIE;
+    }
+
+    /** Hot keys: only a key that alone would overfill its nodes is spread, over as many pairs as it needs. */
+    private int hotCopies(long key, long now) {
+        double all = heatCount.get(now);
+        double before = heat.min(key, now) - 1 - all / HEAT_BUCKETS; // less this one and chance collisions
+        double copies = before < HOT_SEEN ? 1 : 1 + before / all * fleet.readyCount / HOT_SHARE;
+        return (int) Math.min(fleet.readyCount, copies);
+    }
+
+    /**
+     * Cold nodes: every proxy admits the same growing set of keys, so that the sum stays within what a node
+     * warming up can do. Hot keys and further attempts stay away: they would come on top of that budget.
+     */
+    private boolean admits(Target t, Open r, long key, long now) {
+        long since = t.coldSince();
+        if (since == Long.MIN_VALUE || now - since >= set.coldUs) {
+            return true;
+        } else if (r.hot || r.attempts > 0) {
+            return false;
+        }
+        double warm = Math.max(0, (double) (now - since) / set.coldUs);
+        double capacity = set.coldFrom + (1 - set.coldFrom) * warm;
+        double part = COLD_PART + (1 - COLD_PART) * warm;
+        double load = Math.max(LOAD_LEAST, Math.min(1, demand.overQuotas(now)));
+        boolean admitted = Random.unit(Random.mix(key + 31 * Random.mix(t.id))) < capacity * part / load;
+        tally.add(admitted ? Count.SENT_COLD : Count.HELD_FROM_COLD);
+        return admitted;
+    }
+
+    /**
+     * A failing node is passed over with its chance, and still gets trials. The hash draws the lot, so that
+     * proxies move the same keys first and these are kept in one other place.
+     */
+    private boolean passedOver(Target t, long key, long now) {
+        double chance = t.chance.get(now) - USUAL_PART * usualNode;
+        return counted(Count.PASSED_OVER,
+            chance > 0 && Random.unit(Random.mix(key - 31 * Random.mix(t.id))) < chance);
+    }
+
+    /** Learns what is usual from the chance of a node that was sent to; returns how far that is beyond it. */
+    double learnUsual(double chance) {
+        double beyond = chance - usualNode;
+        usualNode += Math.signum(beyond) * USUAL_LEARN;
+        return beyond;
+    }
+
+    /** How busy a node is, by its report or, where there is none, by how long it took. */
+    void busy(Open r, Target t, Router.Outcome o, Router.CacheNote note, Router.Report report, long latency,
+            long now) {
+        if (report.busy >= 0) {
+            t.busy.set(report.busy, now);
+        } else if (note == Router.CacheNote.HIT && o == Router.Outcome.OK) {
+            t.busy.set(r.waited(latency), now); // no report: how long a hit took tells
+        } else if (note == Router.CacheNote.NONE && !r.write
+                && (o == Router.Outcome.OK || o == Router.Outcome.TIMEOUT)) {
+            // nor which were hits: of several the mean, so that one fetch does not look like a queue
+            double before = t.busy.get(now);
+            t.busy.set(before + (Math.min(1, r.waited(latency)) - before) * BUSY_LEARN, now);
+        }
+    }
+
+    /** A node has failed, or served: its own bucket. */
+    void evidence(Target t, boolean failure, double weight, long now) {
+        double rate = demand.rate(now) / Math.max(1, fleet.readyCount);
+        step(t.chance, failure, rate, weight, now);
+        t.chance.fadeIn(Math.max(Target.FADE_US, Math.min(NODE_FADE_MOST_US, NODE_FADE_VISITS / rate * 1e6)));
+    }
+
+    /** BLUE for a single bucket; quiet proxies take larger steps. */
+    static void step(Fading chance, boolean failure, double rate, double weight, long now) {
+        double step = Math.max(NODE_PI, Math.min(NODE_PI_MOST, 1 / (rate * NODE_EVIDENCE_S + 1e-9)));
+        chance.add(failure ? step * weight : -step * NODE_PD_SHARE, Blue.CHANCE_MOST, now);
+    }
+}
--- a/src/main/java/holdproxy/policy/Random.java
+++ b/src/main/java/holdproxy/policy/Random.java
@@ -1,6 +1,6 @@
 package holdproxy.policy;
 
-/** SplitMix64: the instance's own randomness, from its seed alone. */
+/** SplitMix64: the instance's own randomness, from its seed alone; and its mixing as a hash. */
 final class Random {
     private long state;
 
@@ -10,11 +10,22 @@
 
     long next() {
         state += 0x9e3779b97f4a7c15L;
-        return Blue.mix(state);
+        return mix(state);
     }
 
     /** From 0 up to 1. */
     double unit() {
-        return Blue.unit(next());
+        return unit(next());
+    }
+
+    static long mix(long h) {
+        h = (h ^ h >>> 30) * 0xbf58476d1ce4e5b9L;
+        h = (h ^ h >>> 27) * 0x94d049bb133111ebL;
+        return h ^ h >>> 31;
+    }
+
+    /** A hash as a number from 0 up to 1. */
+    static double unit(long hash) {
+        return (hash >>> 11) * 0x1p-53;
     }
 }
--- a/src/main/java/holdproxy/policy/Target.java
+++ b/src/main/java/holdproxy/policy/Target.java
@@ -16,6 +16,8 @@
     double weight;
     Router.NodeState state;
     long startedUs = Long.MIN_VALUE;
+    /** Operators have left it out. */
+    boolean leftOut;
     /** When operators used it again after having left it out; it may have been started anew meanwhile. */
     private long backAt = Long.MIN_VALUE;
     /** Dials that failed running, and when the next one may be tried. */
@@ -64,4 +66,14 @@
     boolean down(long now) {
         return failedDials > 0 && (now < downUntil || inFlight > 0);
     }
+
+    /** Whether the list and the operators let anything new go there. */
+    boolean takesNew() {
+        return state == Router.NodeState.READY && !leftOut;
+    }
+
+    /** For people: listed, but left out, down, or passed over by more than {@code most} beyond the usual. */
+    boolean avoided(double usual, double most, long now) {
+        return state != Router.NodeState.GONE && (leftOut || down(now) || chance.get(now) - usual > most);
+    }
 }
--- a/src/test/java/holdproxy/policy/LeftOutTest.java
+++ b/src/test/java/holdproxy/policy/LeftOutTest.java
@@ -22,7 +22,7 @@
         Set<Integer> nodes = new HashSet<>();
         for (int key = 1; key <= keys; key++) {
             long id = nextId++;
-            p.onRequest(now, Fixture.request(id, Blue.mix(key), now + 600 * MS), f);
+            p.onRequest(now, Fixture.request(id, Random.mix(key), now + 600 * MS), f);
             nodes.add(f.lastNode());
             f.outcome(p, now, id, 0, Router.Outcome.OK);
         }
@@ -61,7 +61,7 @@
             long id = nextId++;
             f.sent.clear();
             f.timers.clear();
-            p.onRequest(2 * S, Fixture.request(id, Blue.mix(key), 2 * S + 600 * MS), f);
+            p.onRequest(2 * S, Fixture.request(id, Random.mix(key), 2 * S + 600 * MS), f);
             f.fire(p, 2 * S + 200 * MS);
             f.outcome(p, 2 * S + 210 * MS, id, 0, Router.Outcome.ERROR);
             assertTrue(f.sent.stream().noneMatch(s -> s.node() == OUT));
@@ -117,7 +117,7 @@
         Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(NODES));
         for (int key = 1; key <= 400; key++) {
             long id = nextId++;
-            p.onRequest(0, Fixture.request(id, Blue.mix(key), 600 * MS), f);
+            p.onRequest(0, Fixture.request(id, Random.mix(key), 600 * MS), f);
             boolean bad = f.lastNode() == OUT;
             f.outcome(p, MS, id, 0, bad ? Router.Outcome.CONNECT_FAILED : Router.Outcome.OK);
             for (int a = 1; bad && !f.sent.isEmpty() && f.sent.get(f.sent.size() - 1).request() == id && a < 2; a++) {
--- a/src/test/java/holdproxy/policy/MechanismTest.java
+++ b/src/test/java/holdproxy/policy/MechanismTest.java
@@ -408,7 +408,7 @@
         double less = coldShare(0.7);
         double little = coldShare(0.01);
         assertEquals(1 / 0.7, less / full, 0.2);
-        assertEquals(1 / Choice.LOAD_LEAST, little / full, 0.3, "a rate that is not known yet is not believed");
+        assertEquals(1 / Placement.LOAD_LEAST, little / full, 0.3, "a rate that is not known yet is not believed");
     }
 
     /** The share of requests that a cold node among eight gets while this share of all quotas is asked for. */
