The request loop waits for its next timer instead of spinning before it

The stacks are in NioIoHandler.select -> selectNow: Netty's NIO loop rounds its wait to the nearest millisecond (millisBeforeDeadline adds 500,000 ns), so that it does not wait at all in the last half millisecond before any timer and turns on selectNow. Change: Turns stands around Netty's NIO handler, rounds the wait up to whole milliseconds and counts turns and idle ones. Counting (from Proxy) puts late_ms and idle_turns into `counted:` where they stand out. Where there is no console the watchdog looks from a thread of its own, four times a second. Not taken: coarser timers (each place would have to know), another transport (native library on each start).

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -3,7 +3,6 @@
 import holdproxy.console.Figures;
 import holdproxy.policy.Choice;
 import holdproxy.policy.Router;
-import holdproxy.policy.Tally;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -38,7 +37,6 @@
     private static final long DRAIN_OPEN_MS = 500;
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
-    private static final int COUNT_EVERY_MS = 1000;
     /** For so long a class that new settings have dropped is still served: its requests were under way. */
     private static final int DROPPED_MS = 5_000;
 
@@ -54,7 +52,6 @@
     private final NodePools pools;
     private final Discovery discovery;
     final Choice router;
-    private final Tally told = new Tally();
     private final Figures figures = new Figures();
     private final Map<Long, Exchange> table = new HashMap<>();
     /** In the order of their coming, so that a run in virtual time can be played again. */
@@ -68,6 +65,7 @@
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private final Promise<Void> drained;
     private final Lateness lateness;
+    final Counting counting;
     private boolean inEvent;
     private long nextId = 1;
     private final Room values = new Room(MOST_HELD_BYTES);
@@ -97,6 +95,7 @@
         discovery = new Discovery(this, config, transport, log);
         members = new Members(this, pools, discovery, log, loop.newPromise());
         router = new Choice(config.settings, config.seed, now(), this);
+        counting = new Counting(router.tally, pools::counted, lateness);
     }
 
     /**
@@ -158,7 +157,7 @@
 
     void begin() {
         tickLater();
-        countLater();
+        counting.start(loop, this);
         discovery.start();
         if (!settings.askForNodes) {
             discovery.watch();
@@ -188,17 +187,6 @@
         }, Lateness.TICK_US, TimeUnit.MICROSECONDS);
     }
 
-    /** What was counted, on a line of its own: the logs of a whole fleet can be added up by it. */
-    private void countLater() {
-        loop.schedule(() -> {
-            String counted = router.tally.sinceThen(told) + pools.counted();
-            if (!counted.isEmpty()) {
-                log.line("counted:" + counted);
-            }
-            countLater();
-        }, COUNT_EVERY_MS, TimeUnit.MILLISECONDS);
-    }
-
     void tick() {
         lateness.ticked(now());
     }
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.channels.ServerSocketChannel;
@@ -23,6 +22,7 @@
     private static final long DRAIN_MOST_MS = 3_600;
     /** How often it is looked up what another process was told. */
     private static final int LOOK_MS = 100;
+    private static final int LOOK_ALONE_MS = 250;
     private static final int REFRESH_MS = 200;
     /** The folder for them in {@code TMPDIR}. */
     private static final String KEPT = "left-out";
@@ -52,8 +52,10 @@
         ServerSocketChannel inherited = inherited(env);
         KeptOut kept = kept(config, env, log);
         Rehearsal.run(config, inherited == null ? Rehearsal.ROUNDS : Rehearsal.UNHURRIED_ROUNDS);
-        EventLoop loop = loop();
+        Turns turns = new Turns();
+        EventLoop loop = loop(turns);
         Proxy proxy = start(config, loop, inherited, kept);
+        loop.execute(() -> proxy.counting.of(turns));
         Service service = new Service(proxy, loop, log, kept);
         Hangup.handle(() -> reload(config, proxy, loop, env));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -62,13 +64,15 @@
         }, "drain"));
         if (config.console != null) {
             service.console(config);
+        } else {
+            service.watchAlone();
         }
         // last: from here on signals are heeded
         loop.execute(() -> proxy.log("listening on " + proxy.address()));
     }
 
-    static EventLoop loop() {
-        return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    static EventLoop loop(Turns turns) {
+        return new MultiThreadIoEventLoopGroup(1, turns).next();
     }
 
     /** A proxy on this loop, once it listens: on the socket that was inherited, or on one of its own. */
@@ -147,11 +151,10 @@
     }
 
     private void console(Config config) {
-        console = loop();
+        console = loop(new Turns());
         Time time = Time.system();
         Log own = new Log(time);
-        Watchdog watchdog = new Watchdog(loopThread(), time.us(), own::line);
-        loop.scheduleAtFixedRate(() -> watchdog.beat(time.us()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        Watchdog watchdog = watchdog(time, own, LOOK_MS);
         console.scheduleAtFixedRate(() -> watchdog.look(time.us()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         console.execute(() -> {
             new Console(console, this, line -> loop.execute(() -> proxy.log(line)))
@@ -162,6 +165,30 @@
         loop.scheduleAtFixedRate(proxy.members()::refresh, REFRESH_MS, REFRESH_MS, TimeUnit.MILLISECONDS);
     }
 
+    private Watchdog watchdog(Time time, Log own, int everyMs) {
+        Watchdog watchdog = new Watchdog(loopThread(), time.us(), own::line);
+        loop.scheduleAtFixedRate(() -> watchdog.beat(time.us()), everyMs, everyMs, TimeUnit.MILLISECONDS);
+        return watchdog;
+    }
+
+    /** Where there is no console a thread of its own looks, less often: a core may be shared by many. */
+    private void watchAlone() {
+        Time time = Time.system();
+        Watchdog watchdog = watchdog(time, new Log(time), LOOK_ALONE_MS);
+        Thread looking = new Thread(() -> {
+            try {
+                while (true) {
+                    Thread.sleep(LOOK_ALONE_MS);
+                    watchdog.look(time.us());
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt(); // nobody does; the process ends with the others
+            }
+        }, "watchdog");
+        looking.setDaemon(true);
+        looking.start();
+    }
+
     private Thread loopThread() {
         try {
             return loop.submit(Thread::currentThread).get();
--- a/src/test/java/holdproxy/net/UpgradeTest.java
+++ b/src/test/java/holdproxy/net/UpgradeTest.java
@@ -73,7 +73,7 @@
     }
 
     private Proxy process() throws Exception {
-        EventLoop loop = Service.loop();
+        EventLoop loop = Service.loop(new Turns());
         loops.add(loop);
         return Service.start(Config.load(Fixture.env(file, discovery.address())), loop, socket, null);
     }
