A test over all ends of a request: one answer by the first turn after it is due

Change: LastWordTest plays proxy, clients and nodes on a clock by hand, 300 seeds of 60 steps: dials refused or silent, answers busy, failed, broken off, begun and not finished, to nobody or never; connections cut; pipelining; second copies; a drain; standstills of the loop of up to 3 s with input waiting and timers due. Each request that was read has one end, in its turn, by the first turn of the loop after its wait and 15 ms; a value that has begun, 5.5 s later.

--- /dev/null
+++ b/src/test/java/holdproxy/net/LastWordTest.java
@@ -0,0 +1,299 @@
+package holdproxy.net;
+
+import static holdproxy.net.Rehearsal.bytes;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.policy.Router;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Whatever nodes, the network and the loop itself do, each request that was read has one end: its answer, in its
+ * turn, by the first turn of the loop after it is due; or, where a value has begun, that or its connection's
+ * end. Moments, silences and standstills of up to 3 s are drawn by seeds; the clock is the test's.
+ */
+class LastWordTest {
+    private static final int SEEDS = 300;
+    private static final int STEPS = 60;
+    /** What the proxy adds to the time that a client waits before it says the last word itself. */
+    private static final long GUARD_US = 15_000;
+    /** A value that has begun and goes no further ends its connection after 5 s, looked at each half second. */
+    private static final long RELAY_US = 5_500_000;
+
+    @TempDir
+    Path folder;
+
+    /** A request that was read, and when it has to have its end, unless those before it have none. */
+    private record Owed(String id, long byUs) {
+    }
+
+    /** One proxy, its clients and nodes, by one seed. */
+    private final class Town implements Transport {
+        private final SplittableRandom random;
+        private final MockTicker ticker = Ticker.newMockTicker();
+        private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
+        private final Time time = new Time(ticker, () -> 0);
+        private final List<EmbeddedChannel> nodes = new ArrayList<>();
+        private final List<Client> clients = new ArrayList<>();
+        private final ChannelHandler planted;
+        private final Proxy proxy;
+        private final List<String> broken = new ArrayList<>();
+        private int asked;
+        private int ended;
+
+        Town(long seed, ChannelHandler planted) throws IOException {
+            random = new SplittableRandom(seed);
+            this.planted = planted;
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS.replace(
+                "\"secondCopies\":false", "\"secondCopies\":" + random.nextBoolean()), 1024));
+            Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+            proxy = new Proxy(config, timers.eventLoop(), time, this, new Log(time, line -> { }));
+            List<Discovery.Entry> entries = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                Router.Node node = new Router.Node();
+                node.id = i + 1;
+                entries.add(new Discovery.Entry(node, "node-" + i, new InetSocketAddress("127.0.0.1", 100 + i)));
+            }
+            proxy.nodes(Router.ListKind.CACHED, entries);
+            proxy.listen();
+        }
+
+        @Override
+        public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+            int how = random.nextInt(10);
+            if (how < 7) {
+                EmbeddedChannel channel = new EmbeddedChannel(handlers);
+                nodes.add(channel);
+                return channel.newSucceededFuture();
+            }
+            EmbeddedChannel dead = new EmbeddedChannel(false, false, handlers);
+            try {
+                dead.register();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+            if (how == 7) {
+                return dead.newFailedFuture(new ConnectException("refused"));
+            }
+            ChannelPromise never = dead.newPromise();
+            timers.eventLoop().schedule(() -> never.tryFailure(new ConnectTimeoutException("silent")), timeoutMs,
+                TimeUnit.MILLISECONDS);
+            return never;
+        }
+
+        @Override
+        public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+            return new EmbeddedChannel().newSucceededFuture();
+        }
+
+        @Override
+        public void endSending(Channel channel) {
+            channel.close();
+        }
+
+        void play() {
+            for (int step = 0; step < STEPS && broken.isEmpty(); step++) {
+                if (step == STEPS - 10 && random.nextBoolean()) {
+                    proxy.end(500);
+                }
+                int requests = step < STEPS - 20 ? random.nextInt(3) : 0;
+                for (int i = 0; i < requests; i++) {
+                    client().ask();
+                }
+                for (EmbeddedChannel node : List.copyOf(nodes)) {
+                    if (random.nextInt(3) == 0) {
+                        answer(node);
+                    }
+                }
+                // mostly on time; now and then the loop stands still, with input waiting and timers due
+                boolean still = random.nextInt(12) == 0;
+                pass(step >= STEPS - 20 ? 700 : random.nextInt(still ? 3_000 : 60));
+                clients.forEach(Client::judge);
+            }
+        }
+
+        private Client client() {
+            if (clients.isEmpty() || random.nextInt(5) == 0) {
+                clients.add(new Client());
+                return clients.get(clients.size() - 1);
+            }
+            return clients.get(random.nextInt(clients.size()));
+        }
+
+        private void pass(int ms) {
+            ticker.advance(ms, TimeUnit.MILLISECONDS);
+            timers.runScheduledPendingTasks();
+            proxy.tick();
+            clients.forEach(c -> c.channel.runScheduledPendingTasks());
+        }
+
+        /** What a node makes of what has come to it. */
+        private void answer(EmbeddedChannel node) {
+            StringBuilder came = new StringBuilder();
+            for (ByteBuf b = node.readOutbound(); b != null; b = node.readOutbound()) {
+                came.append(b.toString(StandardCharsets.ISO_8859_1));
+                b.release();
+            }
+            int at = came.indexOf(" O") + 2;
+            if (at < 2 || !node.isActive()) {
+                return;
+            }
+            String id = came.substring(at, came.indexOf(" ", at));
+            boolean read = came.charAt(1) == 'g';
+            switch (random.nextInt(9)) {
+                case 0 -> node.writeInbound(bytes("SERVER_ERROR busy\r\n"));
+                case 1 -> node.writeInbound(bytes("SERVER_ERROR failed\r\n"));
+                case 2 -> node.close();
+                case 3 -> node.writeInbound(bytes("VA 5 O" + id + "\r\nhel")); // and nothing more
+                case 4 -> node.writeInbound(bytes("VA 70000 O" + id + "\r\n" + "x".repeat(1000)));
+                case 5 -> node.writeInbound(bytes("what is this\r\n"));
+                case 6 -> { } // silent for ever
+                default -> node.writeInbound(bytes(read ? "VA 5 O" + id + "\r\nhello\r\n"
+                    : "HD O" + id + " c1\r\n"));
+            }
+        }
+
+        /** A connection that asks without waiting, and what it is owed, in order. */
+        private final class Client {
+            private final EmbeddedChannel channel = EmbeddedChannel.builder().ticker(ticker).build();
+            private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+            private long begunUs = -1;
+            private String said = "";
+
+            Client() {
+                channel.pipeline().addLast(planted == null ? new ChannelOutboundHandlerAdapter() : planted);
+                channel.pipeline().addLast(proxy.handlers());
+                channel.pipeline().fireChannelActive(); // it came up before there was anyone to tell
+            }
+
+            void ask() {
+                if (!channel.isActive() || !channel.config().isAutoRead()) {
+                    return;
+                }
+                String id = "r" + asked++;
+                int waitMs = 50 + random.nextInt(2_000);
+                String cls = new String[] {"lookup", "charge", "submit"}[random.nextInt(3)];
+                channel.writeInbound(bytes(cls.equals("lookup") ? Fixture.read(id, waitMs)
+                    : Fixture.write(cls, id, waitMs)));
+                owed.add(new Owed(id, time.us() + waitMs * 1000L + GUARD_US));
+            }
+
+            /** After a turn of the loop at this moment. */
+            void judge() {
+                for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+                    said += b.toString(StandardCharsets.ISO_8859_1);
+                    b.release();
+                }
+                while (said.contains("\r\n") && answered()) {
+                    // the next one
+                }
+                if (!channel.isActive()) {
+                    // a connection may end under a value that broke off, and between requests; not else
+                    if (!owed.isEmpty() && begunUs < 0) {
+                        broken.add("ended without an answer to " + owed);
+                    }
+                    ended += owed.size();
+                    owed.clear();
+                    said = "";
+                }
+                Owed first = owed.peek();
+                if (first != null && time.us() > Math.max(first.byUs, begunUs < 0 ? 0 : begunUs + RELAY_US)) {
+                    broken.add("no end at " + time.us() + ": " + first + " of " + owed + ", said " + said);
+                }
+            }
+
+            private boolean answered() {
+                if (owed.isEmpty()) {
+                    broken.add("nobody waits for " + said);
+                    said = "";
+                    return false;
+                }
+                String line = said.substring(0, said.indexOf("\r\n"));
+                if (line.startsWith("VA 70000 ")) {
+                    begunUs = begunUs < 0 ? time.us() : begunUs;
+                    return false;
+                }
+                said = said.substring(line.length() + 2);
+                if (line.startsWith("VA ")) {
+                    said = said.substring("hello\r\n".length());
+                }
+                Owed due = owed.poll();
+                ended++;
+                if (line.contains(" O") && !line.contains(" O" + due.id)) {
+                    broken.add(due + " is answered with " + line);
+                }
+                return true;
+            }
+        }
+    }
+
+    private Town played(long seed, ChannelHandler planted) throws IOException {
+        Town town = new Town(seed, planted);
+        town.play();
+        return town;
+    }
+
+    @Test
+    void eachRequestThatWasReadHasOneEndAlsoWhileTheLoopIsLate() throws IOException {
+        int asked = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Town town = played(seed, null);
+            assertEquals(List.of(), town.broken, "seed " + seed);
+            assertEquals(town.asked, town.ended, "seed " + seed);
+            assertEquals(0, town.proxy.open(), "left open by seed " + seed);
+            asked += town.asked;
+        }
+        assertTrue(asked > 30 * SEEDS, asked + " requests");
+    }
+
+    /** Loses the third answer on each connection. */
+    @ChannelHandler.Sharable
+    private static final class Losing extends ChannelOutboundHandlerAdapter {
+        private int written;
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            if (message instanceof ByteBuf b && b.isReadable() && ++written == 3) {
+                ReferenceCountUtil.release(message);
+                promise.setSuccess();
+            } else {
+                ctx.write(message, promise);
+            }
+        }
+    }
+
+    @Test
+    void anAnswerThatIsLostIsFound() throws IOException {
+        int found = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            found += played(seed, new Losing()).broken.isEmpty() ? 0 : 1;
+        }
+        assertTrue(found >= 18, found + " of 20"); // the third answer may be one that no other comes behind
+    }
+}
