Zones in the lab: links between them, seven faults, and what a lost zone costs

Need: the operators ask that a failing zone is left as a fleet; the lab knew no zones, so that neither today's loss nor a gain could be shown. Change: nodes, proxies and clients have a zone, links a delay by pair; a zone dies, falls silent (back cold or warm), is cut off in one or both directions, or turns gray. What a zone keeps back stands in the record (LOST) and excuses proxies in "one answer". The report tells service by zone, the last send into a silent zone, the register's peak load and the peak of cold budgets; kill and restart take a part of the proxies. Not taken: zones as groups of silent hosts.

--- a/src/main/java/holdproxy/lab/Auditors.java
+++ b/src/main/java/holdproxy/lab/Auditors.java
@@ -59,13 +59,15 @@
 
     /**
      * A request that a proxy has taken gets exactly one answer before its client leaves, and no one gets
-     * another. Excused is what was out at a proxy that was killed or stood still by the town's doing.
+     * another. Excused is what was out at a proxy that was killed or stood still by the town's doing, or that
+     * had messages to or from clients lost or late by the state of a zone.
      */
     static List<String> oneAnswer(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Long> askedAt = new HashMap<>();
         Map<String, Long> heldUntil = new HashMap<>();
         Map<String, Long> killedAt = new HashMap<>();
+        Map<String, Long> lostAt = new HashMap<>();
         Set<String> taken = new HashSet<>();
         for (Event e : events) {
             switch (e.kind()) {
@@ -76,6 +78,11 @@
                         killedAt.put(e.where(), e.us());
                     }
                 }
+                case LOST -> {
+                    if (e.word(1).equals("true")) {
+                        lostAt.put(e.where(), e.us());
+                    }
+                }
                 case ASKED -> askedAt.put(e.id(), e.us());
                 case TAKEN -> taken.add(e.id());
                 case ANSWERED -> {
@@ -87,6 +94,7 @@
                     long since = askedAt.get(e.id());
                     boolean excused = heldUntil.getOrDefault(e.where(), -1L) >= since
                         || killedAt.getOrDefault(e.where(), -1L) >= since
+                        || lostAt.getOrDefault(e.where(), -1L) >= since
                         || e.kind() == Event.Kind.CUT && !taken.contains(e.id());
                     if (!excused) {
                         found.add(e.kind() == Event.Kind.LEFT ? "no answer while the client waited: " + e
--- a/src/main/java/holdproxy/lab/MemberRegister.java
+++ b/src/main/java/holdproxy/lab/MemberRegister.java
@@ -24,6 +24,8 @@
     private final Map<String, Long> firstUs = new HashMap<>();
     private final Map<String, String> receipts = new HashMap<>();
     private final List<CacheNode> nodes = new ArrayList<>();
+    /** What came in each second. */
+    private final List<Integer> came = new ArrayList<>();
     private int running;
     private long versions;
 
@@ -64,7 +66,26 @@
         take(new Work(id, key, writeKey, group, done));
     }
 
+    /** The most that came in any one second, over what can be done in one. */
+    double peakLoad() {
+        double perS = most * 1e6 / workUs;
+        return came.stream().mapToInt(n -> n).max().orElse(0) / perS;
+    }
+
+    private void came() {
+        int second = (int) (loop.nowUs() / 1_000_000);
+        while (came.size() <= second) {
+            came.add(0);
+        }
+        came.set(second, came.get(second) + 1);
+    }
+
     private void take(Work w) {
+        came();
+        start(w);
+    }
+
+    private void start(Work w) {
         if (running == most) {
             waiting.add(w);
             return;
@@ -74,7 +95,7 @@
             running--;
             w.done.accept(w.writeKey == null ? "m" + ++versions : apply(w));
             if (!waiting.isEmpty()) {
-                take(waiting.poll());
+                start(waiting.poll());
             }
         });
     }
--- a/src/main/java/holdproxy/lab/Play.java
+++ b/src/main/java/holdproxy/lab/Play.java
@@ -1,7 +1,9 @@
 package holdproxy.lab;
 
 import holdproxy.net.Transport;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 
 /**
@@ -9,10 +11,12 @@
  *
  * @param scenario what was played
  * @param service how its clients were served
+ * @param figures of the report, in their order
  * @param broken the rules broken, none if all is well
  * @param hash of all that happened: the same for two plays that went the same way
  */
-record Play(Scenario scenario, Service service, List<Auditors.Broken> broken, String hash) {
+record Play(Scenario scenario, Service service, Map<String, Object> figures, List<Auditors.Broken> broken,
+        String hash) {
     static Play of(Scenario scenario) {
         return of(scenario, t -> t);
     }
@@ -34,7 +38,11 @@
                     broken.add(new Auditors.Broken("runs", p.name + " does not run at the end"));
                 }
             }
-            return new Play(scenario, new Service(events), broken, town.record.hash());
+            Service service = new Service(events);
+            Map<String, Object> figures = new LinkedHashMap<>(service.figures());
+            figures.put("register_peak_load", town.register.peakLoad());
+            figures.putAll(new ZoneReport(events).figures());
+            return new Play(scenario, service, figures, broken, town.record.hash());
         }
     }
 }
--- a/src/main/java/holdproxy/lab/Service.java
+++ b/src/main/java/holdproxy/lab/Service.java
@@ -38,7 +38,7 @@
             Second second = second(e.us());
             switch (e.kind()) {
                 case WANTED -> {
-                    RequestClass type = RequestClass.named(e.detail());
+                    RequestClass type = RequestClass.named(e.word(0));
                     Want want = new Want(e.us(), type, second, classes.get(type.name()));
                     open.put(e.id(), want);
                     for (Second s : List.of(all, want.second, want.byClass)) {
--- a/src/main/java/holdproxy/lab/Troubles.java
+++ b/src/main/java/holdproxy/lab/Troubles.java
@@ -1,6 +1,7 @@
 package holdproxy.lab;
 
 import java.util.List;
+import java.util.stream.IntStream;
 
 /** Lets the faults of a scenario happen in a town. */
 final class Troubles {
@@ -36,9 +37,9 @@
 
     private void happen(Fault f) {
         switch (f.kind()) {
-            case RESTART -> town.proxies.get(f.target()).restart((long) (f.forS() * 1e6));
-            case KILL -> town.proxies.get(f.target()).kill((long) (f.noticedS() * 1e6),
-                (long) (f.forS() * 1e6));
+            case RESTART -> proxies(f).forEach(p -> p.restart((long) (f.forS() * 1e6)));
+            case KILL -> proxies(f).forEach(p -> p.kill((long) (f.noticedS() * 1e6),
+                (long) (f.forS() * 1e6)));
             case HOLD -> town.proxies.get(f.target()).hold((long) (f.forS() * 1e6));
             case DISCOVERY_DOWN -> {
                 town.discovery.down(true);
@@ -52,6 +53,21 @@
                 town.proxies.forEach(p -> p.retune(1));
                 after(f, () -> town.proxies.forEach(p -> p.retune(Town.ATTEMPTS)));
             }
+            case ZONE_DEAD, ZONE_LOST, ZONE_SILENT -> loseZone(f);
+            case ZONE_CUT -> {
+                cut(f, true);
+                cut(f, false);
+            }
+            case ZONE_CUT_IN -> cut(f, true);
+            case ZONE_CUT_OUT -> cut(f, false);
+            case ZONE_GRAY -> {
+                said(f, "gray");
+                town.zones.gray(f.target(), f.chance(), f.times());
+                after(f, () -> {
+                    town.zones.gray(f.target(), 0, 1);
+                    said(f, "sound");
+                });
+            }
             case HOT_KEY -> {
                 town.clients.hot(f.part());
                 after(f, () -> town.clients.hot(0));
@@ -70,6 +86,61 @@
         }
     }
 
+    private List<ProxyProcess> proxies(Fault f) {
+        int all = town.proxies.size();
+        return IntStream.range(0, f.count(all)).mapToObj(i -> town.proxies.get((f.target() + i) % all))
+            .toList();
+    }
+
+    private void said(Fault f, String what) {
+        town.record.add(town.loop.nowUs(), Event.Kind.FAULT, "zone-" + f.target(), "", what);
+    }
+
+    private void cut(Fault f, boolean inwards) {
+        String way = inwards ? " inwards" : " outwards";
+        said(f, "cut" + way);
+        town.zones.cut(f.target(), inwards, true);
+        after(f, () -> {
+            town.zones.cut(f.target(), inwards, false);
+            said(f, "joined" + way);
+        });
+    }
+
+    /** Dead, or silent and back cold or as it was. Discovery and the front notice later. */
+    private void loseZone(Fault f) {
+        boolean dead = f.kind() == Fault.Kind.ZONE_DEAD;
+        List<CacheNode> nodes = town.nodes.stream().filter(n -> n.zone == f.target() && n.up()).toList();
+        List<ProxyProcess> proxies = town.proxies.stream().filter(p -> p.zone == f.target()).toList();
+        said(f, dead ? "dead" : "silent");
+        if (dead) {
+            nodes.forEach(n -> n.end("crash"));
+            proxies.forEach(p -> p.kill((long) (f.noticedS() * 1e6), (long) (f.forS() * 1e6)));
+        } else {
+            town.zones.silent(f.target(), true);
+        }
+        later(f.noticedS(), () -> {
+            nodes.forEach(town::relist);
+            if (!dead && town.zones.silent(f.target())) {
+                proxies.forEach(p -> p.believed(false));
+            }
+        });
+        after(f, () -> {
+            town.zones.silent(f.target(), false);
+            said(f, "back");
+            if (f.kind() == Fault.Kind.ZONE_LOST) {
+                nodes.forEach(n -> n.end("crash"));
+                proxies.forEach(p -> p.kill(0, 0));
+            } else if (!dead) {
+                proxies.forEach(p -> p.believed(true));
+            }
+            if (f.kind() != Fault.Kind.ZONE_SILENT) {
+                // a place may have another node by now, and that one may be up
+                nodes.stream().filter(n -> !n.up() && town.nodes.contains(n)).forEach(CacheNode::startCold);
+            }
+            later(ADDED_S, () -> nodes.forEach(town::relist));
+        });
+    }
+
     private void atNode(Fault f, int place) {
         CacheNode node = town.nodes.get(place);
         switch (f.kind()) {
