--- a/src/main/java/holdproxy/lab/Event.java
+++ b/src/main/java/holdproxy/lab/Event.java
@@ -41,7 +41,8 @@
         FIGURES,
         /**
          * What the state of a zone kept from its end, or made late; where: who it was to, id: who sent it,
-         * detail: dial, message or late, whether people sent it, and the silent zone that it was for or -1.
+         * detail: dial, message or late, whether people sent it, and the silent zone that it was for from
+         * outside, or -1.
          */
         LOST,
         /** Something was done to a host; detail: what. */
--- a/src/main/java/holdproxy/lab/MemoryNetwork.java
+++ b/src/main/java/holdproxy/lab/MemoryNetwork.java
@@ -85,9 +85,9 @@
                 : zones.addedUs(host.zone, opener.zone, own));
         }
 
-        /** Something was lost, or is late, by the town's doing; {@code into} a zone whose silence lost it. */
+        /** Something was lost, or is late, by the town's doing; from outside into a silent zone, or else. */
         void lost(boolean toHost, String what) {
-            boolean silence = toHost && zones.silent(host.zone);
+            boolean silence = toHost && zones.silent(host.zone) && !zones.silent(opener.zone);
             whenLost.lost(opener.name, opener.people, host.name, silence ? host.zone : Zones.NOWHERE, what);
         }
 
@@ -117,7 +117,7 @@
 
     /** Is told of what the state of zones has kept from its end. */
     interface WhenLost {
-        /** {@code zone}: the silent one that it was for, or {@link Zones#NOWHERE}. */
+        /** {@code zone}: the silent one that it was for, from outside, or {@link Zones#NOWHERE}. */
         void lost(String from, boolean byPeople, String to, int zone, String what);
     }
 
