--- a/src/main/java/holdproxy/rig/Relay.java
+++ b/src/main/java/holdproxy/rig/Relay.java
@@ -91,7 +91,7 @@
     }
 
     /**
-     * New connections are refused from now on, or taken again; those that are open go on. Called elsewhere than
+     * New connections are refused from now on, or taken again; what is open goes on. Called elsewhere than
      * on the event loop it returns once that holds.
      */
     public void refuse(boolean now) {
