--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -3,6 +3,7 @@
 import holdproxy.input.BadInput;
 import holdproxy.lab.LabCommand;
 import holdproxy.net.Service;
+import holdproxy.rig.RigCommand;
 import holdproxy.sim.SimHost;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -12,20 +13,23 @@
 
 /**
  * Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire,
- * {@code lab} towns in virtual time.
+ * {@code lab} towns in virtual time, {@code rig} real processes under faults.
  */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) {
-        String command = args.length == 1 ? args[0] : args.length > 1 && args[0].equals("lab") ? "lab" : "";
+        boolean tool = args.length > 1 && (args[0].equals("lab") || args[0].equals("rig"));
+        String command = args.length == 1 || tool ? args[0] : "";
         switch (command) {
             case "serve" -> serve();
             case "simhost" -> simhost();
             case "lab" -> System.exit(LabCommand.run(Arrays.copyOfRange(args, 1, args.length)));
+            case "rig" -> System.exit(RigCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             default -> {
-                System.err.println("usage: java -jar holdproxy.jar serve | simhost | lab (see lab --help)");
+                System.err.println("usage: java -jar holdproxy.jar serve | simhost | lab | rig"
+                    + " (see lab --help, rig --help)");
                 System.exit(2);
             }
         }
--- a/src/main/java/holdproxy/lab/ProxyProcess.java
+++ b/src/main/java/holdproxy/lab/ProxyProcess.java
@@ -7,6 +7,7 @@
 import holdproxy.net.Transport;
 import holdproxy.town.Event;
 import holdproxy.town.Front;
+import holdproxy.town.ProxyConfig;
 import holdproxy.town.RequestClass;
 import holdproxy.town.TownRecord;
 import java.util.Set;
@@ -38,7 +39,7 @@
     private final IntFunction<Config> retuned;
     /** Nodes that operators have left out: this outlives a life, as a folder of the platform's does. */
     private final Set<String> leftOut = new TreeSet<>();
-    private int attempts = Town.ATTEMPTS;
+    private int attempts = ProxyConfig.ATTEMPTS;
     private final UnaryOperator<Transport> planted;
     private final Consumer<String> log;
     private final Function<VirtualTime, Time> clock;
--- a/src/main/java/holdproxy/lab/Scenario.java
+++ b/src/main/java/holdproxy/lab/Scenario.java
@@ -54,7 +54,7 @@
     }
 
     static final Size SMALL = new Size(2, 8, 4, 20, 4000, 30, 700, 2.5, 0.2, 20, 60, 40);
-    static final Load PLAIN = new Load(62, 40, 20_000, 0.9, 2, List.of(0.45, 0.37, 0.18));
+    static final Load PLAIN = Load.PLAIN;
     private static final double FIRST_FAULT_S = 1;
     private static final int MOST_FAULTS = 5;
 
--- a/src/main/java/holdproxy/lab/ScenarioFile.java
+++ b/src/main/java/holdproxy/lab/ScenarioFile.java
@@ -1,6 +1,7 @@
 package holdproxy.lab;
 
 import holdproxy.input.BadInput;
+import holdproxy.toml.TomlPart;
 import holdproxy.town.Load;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,12 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import java.util.TreeSet;
-import org.tomlj.Toml;
 import org.tomlj.TomlArray;
-import org.tomlj.TomlParseResult;
-import org.tomlj.TomlPosition;
-import org.tomlj.TomlTable;
 
 /**
  * Scenarios as TOML. Every figure has a default but a fault's place; whatever is unknown, of the wrong
@@ -38,34 +34,24 @@
 
     /** {@code file}: its name, for errors and where the scenario states none. */
     static Scenario read(String file, String text) {
-        TomlParseResult parsed = Toml.parse(text);
-        if (parsed.hasErrors()) {
-            throw new BadInput(file + " line " + parsed.errors().get(0).position().line() + ": "
-                + parsed.errors().get(0).getMessage());
-        }
-        Part top = new Part(file, "the scenario", parsed, null);
+        TomlPart top = TomlPart.parse(file, "the scenario", text);
         String name = top.text("name", file);
         long seed = (long) top.number("seed", 1, 0, Long.MAX_VALUE);
         double seconds = top.number("seconds", 30, 1, LONGEST_S);
-        Part town = top.part("town");
+        TomlPart town = top.part("town");
         Scenario.Size size = size(town);
         Scenario.Rooms rooms = rooms(town);
         town.done();
-        Load load = load(top.part("load"));
+        Load load = Load.read(top.part("load"));
         List<Fault> faults = new ArrayList<>();
-        TomlArray array = top.array("fault");
-        for (int i = 0; array != null && i < array.size(); i++) {
-            if (!(array.get(i) instanceof TomlTable table)) {
-                throw top.bad(array.inputPositionOf(i), "fault is not a list of tables, [[fault]]");
-            }
-            faults.add(fault(new Part(file, "[[fault]]", table, array.inputPositionOf(i)), size, load,
-                rooms.zones(), seconds));
+        for (TomlPart fault : top.parts("fault")) {
+            faults.add(fault(fault, size, load, rooms.zones(), seconds));
         }
         top.done();
         return new Scenario(name, seed, seconds, size, load, faults, rooms);
     }
 
-    private static Scenario.Size size(Part p) {
+    private static Scenario.Size size(TomlPart p) {
         Scenario.Size d = Scenario.SMALL;
         Scenario.Size size = new Scenario.Size(p.whole("proxies", d.proxies(), 1, 200),
             p.whole("nodes", d.nodes(), 1, 1000), p.whole("slots", d.slots(), 1, 1000),
@@ -79,7 +65,7 @@
         return size;
     }
 
-    private static Scenario.Rooms rooms(Part p) {
+    private static Scenario.Rooms rooms(TomlPart p) {
         int zones = p.whole("zones", 1, 1, Zones.MOST);
         TomlArray each = p.array("zone_ms");
         List<Double> delays = new ArrayList<>();
@@ -99,30 +85,7 @@
         return new Scenario.Rooms(zones, delays.isEmpty() ? List.of(0.0) : delays);
     }
 
-    private static Load load(Part p) {
-        Load d = Scenario.PLAIN;
-        double ratePerS = p.number("rate_per_s", d.ratePerS(), 0.1, 100_000);
-        double workMs = p.number("work_ms", d.workMs(), 0.01, 10_000);
-        int keys = p.whole("keys", d.keys(), 1, 10_000_000);
-        double zipf = p.number("zipf", d.zipf(), 0, 5);
-        int retries = p.whole("retries", d.retries(), 0, 10);
-        List<Double> clubs = new ArrayList<>();
-        TomlArray shares = p.array("clubs");
-        for (int i = 0; shares != null && i < shares.size(); i++) {
-            if (!(shares.get(i) instanceof Double share) || share <= 0 || share > 1) {
-                throw p.bad(shares.inputPositionOf(i), "clubs holds something else than shares from 0 to 1");
-            }
-            clubs.add(share);
-        }
-        p.done();
-        double sum = clubs.stream().mapToDouble(c -> c).sum();
-        if (!clubs.isEmpty() && Math.abs(sum - 1) > 1e-6) {
-            throw p.bad(p.at("clubs"), "the shares of clubs make " + sum + " and not 1");
-        }
-        return new Load(ratePerS, workMs, keys, zipf, retries, clubs.isEmpty() ? d.clubs() : clubs);
-    }
-
-    private static Fault fault(Part p, Scenario.Size size, Load load, int zones, double seconds) {
+    private static Fault fault(TomlPart p, Scenario.Size size, Load load, int zones, double seconds) {
         String word = p.text("kind", "");
         Fault.Kind kind = null;
         for (Fault.Kind k : Fault.Kind.values()) {
@@ -196,96 +159,4 @@
     private static void line(StringBuilder out, String key, Object value) {
         out.append(key).append(" = ").append(value).append('\n');
     }
-
-    /** A table of the file: gives out its values checked, and knows which of its keys were asked for. */
-    private static final class Part {
-        private final String file;
-        private final String what;
-        private final TomlTable table;
-        private final TomlPosition start;
-        private final Set<String> asked = new TreeSet<>();
-
-        Part(String file, String what, TomlTable table, TomlPosition start) {
-            this.file = file;
-            this.what = what;
-            this.table = table;
-            this.start = start;
-        }
-
-        TomlPosition at(String key) {
-            TomlPosition at = table.inputPositionOf(List.of(key));
-            return at == null ? start : at;
-        }
-
-        BadInput bad(TomlPosition at, String why) {
-            return new BadInput(file + (at == null ? "" : " line " + at.line()) + ": " + why);
-        }
-
-        private Object value(String key) {
-            asked.add(key);
-            return table.get(List.of(key));
-        }
-
-        String text(String key, String fallback) {
-            Object value = value(key);
-            if (value == null || value instanceof String) {
-                return value == null ? fallback : (String) value;
-            }
-            throw bad(at(key), key + " is no text");
-        }
-
-        double number(String key, double fallback, double least, double most) {
-            Object value = value(key);
-            if (value == null) {
-                return fallback;
-            }
-            if (value instanceof Number n && n.doubleValue() >= least && n.doubleValue() <= most) {
-                return n.doubleValue();
-            }
-            throw bad(at(key), key + " in " + what + " is not a number from " + least + " to " + most
-                + ": " + value);
-        }
-
-        double needed(String key, double least, double most) {
-            if (value(key) == null) {
-                throw bad(start, key + " is missing from " + what);
-            }
-            return number(key, 0, least, most);
-        }
-
-        int whole(String key, int fallback, int least, int most) {
-            double value = number(key, fallback, least, most);
-            if (value != Math.rint(value)) {
-                throw bad(at(key), key + " in " + what + " is not a whole number: " + value);
-            }
-            return (int) value;
-        }
-
-        TomlArray array(String key) {
-            Object value = value(key);
-            if (value == null || value instanceof TomlArray) {
-                return (TomlArray) value;
-            }
-            throw bad(at(key), key + " in " + what + " is no list");
-        }
-
-        Part part(String key) {
-            Object value = value(key);
-            if (value != null && !(value instanceof TomlTable)) {
-                throw bad(at(key), key + " is no table, [" + key + "]");
-            }
-            return new Part(file, "[" + key + "]", value == null ? Toml.parse("") : (TomlTable) value,
-                at(key));
-        }
-
-        /** All that there is was asked for. */
-        void done() {
-            for (String key : table.keySet()) {
-                if (!asked.contains(key)) {
-                    throw bad(at(key), key + " is unknown in " + what + "; known are "
-                        + String.join(", ", asked));
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/holdproxy/lab/Town.java
+++ b/src/main/java/holdproxy/lab/Town.java
@@ -10,6 +10,7 @@
 import holdproxy.town.Front;
 import holdproxy.town.Load;
 import holdproxy.town.MemberRegister;
+import holdproxy.town.ProxyConfig;
 import holdproxy.town.RequestClass;
 import holdproxy.town.TownRecord;
 import java.net.InetAddress;
@@ -36,28 +37,12 @@
     private static final long CALL_US = 30_000;
     /** After the last request, until the last of its tries is over. */
     private static final double LAST_TRIES_S = 12;
-    private static final long REPEATS_DROPPED_US = 2_500_000;
     /** Share of nodes of the fast kind; what a core of either does, in standard cores. */
     private static final double FAST_SHARE = 0.4;
     private static final double[] FAST = {1.3, 1.7};
     private static final double[] STANDARD = {0.85, 1.1};
     /** Part of what the nodes can do that the clubs may ask for together. */
     private static final double QUOTA_PART = 0.83;
-    static final int ATTEMPTS = 3;
-    private static final String NO_LIST = "{\"version\":0,\"full\":true,\"servers\":[]}";
-    private static final String SETTINGS = """
-        {"index":%d,"balancers":%d,"az":%d,"domainType":"cache",
-         "familyInfo":{"mode":"through","originKind":-1},
-         "caps":{"dialTimeoutMs":200.0,"idleCloseMs":30000.0,"maxAttempts":%d,"maxRetryAfterMs":2000.0,
-          "mayCancel":true,"multiplex":1,"openCap":20000,"peers":false,"probing":false,"retryAfter":false,
-          "secondCopies":true},
-         "grades":[%s],
-         "kinds":["fast-1c","std-1c"],"localities":[%s],"registryMode":"subscribe",
-         "reporting":{"fields":[],"source":"off"},
-         "rules":{"askWithinMs":1000.0,"coldFrom":%s,"coldMs":%s,"drainGraceMs":500.0,"fallMs":2000.0,
-          "graceToAnswerMs":0.0,"tipMultiple":4.0},
-         "tenants":[%s],"tickMs":5.0,"weights":"off"}
-        """;
 
     final VirtualTime time = new VirtualTime();
     /** The loop of all but the proxies. */
@@ -91,9 +76,10 @@
         zones = new Zones(scenario.rooms().zones(), scenario.rooms().delaysMs(), stream("zones", 0));
         network = new MemoryNetwork(zones, (from, byPeople, to, zone, what) -> record.add(time.nowUs(),
             Event.Kind.LOST, to, from, what + " " + byPeople + " " + zone));
-        discovery = new DiscoveryService(loop, record, CALL_US, network::silent);
+        discovery = new DiscoveryService(loop, record, CALL_US, network::silent,
+            (proxy, node) -> node);
         register = new MemberRegister(loop, record, size.originSlots(), (long) (size.originMs() * 1000),
-            REPEATS_DROPPED_US);
+            ProxyConfig.REPEATS_DROPPED_US);
         InetSocketAddress registry = address(1, 0, 8500);
         network.host("discovery", registry, 300, 100, stream("discovery", 0), Zones.NOWHERE);
         discovery.start(network.process("discovery", loop, Zones.NOWHERE), registry);
@@ -102,58 +88,38 @@
             nodes.get(i).startWarm(load.keys());
             relist(nodes.get(i));
         }
-        List<String> tenants = IntStream.range(0, load.clubs().size()).mapToObj(i -> "club-" + i).toList();
         double perS = cores / load.workMs() * 1000 * QUOTA_PART;
-        String clubs = IntStream.range(0, tenants.size()).mapToObj(i -> "{\"name\":\"" + tenants.get(i)
-            + "\",\"quotaPerS\":" + perS * load.clubs().get(i) + ",\"share\":" + load.clubs().get(i) + "}")
-            .collect(Collectors.joining(","));
         Front front = new Front();
         List<MemoryNetwork.Process> people = IntStream.range(0, zones.count()).mapToObj(
             z -> network.people(zones.count() == 1 ? "clients" : "clients-" + z, loop, z)).toList();
         clients = new Clients(loop, people, record, stream("clients", 0), load,
-            tenants, front, size.proxies());
+            ProxyConfig.clubNames(load.clubs().size()), front, size.proxies());
         for (int i = 0; i < size.proxies(); i++) {
-            proxies.add(proxy(i, front, registry, clubs, planted));
+            proxies.add(proxy(i, front, registry, perS, planted));
             proxies.get(i).start();
         }
         Troubles.plan(this, scenario.faults());
     }
 
-    private ProxyProcess proxy(int i, Front front, InetSocketAddress registry, String clubs,
+    private ProxyProcess proxy(int i, Front front, InetSocketAddress registry, double perS,
             UnaryOperator<Transport> planted) {
         Scenario.Size size = scenario.town();
         InetSocketAddress address = address(3, i, 11211);
         String name = "proxy-" + i;
         int zone = zones.of(i);
         network.host(name, address, 800, 200, stream("proxy network", i), zone);
-        String rooms = Zones.names(zones.count()).stream().map(n -> "\"" + n + "\"")
-            .collect(Collectors.joining(","));
-        IntFunction<String> settings = attempts -> SETTINGS.formatted(i, size.proxies(), zone, attempts,
-            grades(), rooms, size.coldFrom(), size.coldS() * 1000, clubs);
+        ProxyConfig told = new ProxyConfig(i, size.proxies(), zone, Zones.names(zones.count()),
+            size.coldFrom(), size.coldS(), scenario.load().clubs(), perS);
         SplittableRandom seeds = stream("proxy", i);
         return new ProxyProcess(name, zone, front.door(address, zone), time, loop, network, record, front,
-            attempts -> config(name, address, registry, seeds.nextLong(), discovery.whole(name),
-                settings.apply(attempts)),
-            attempts -> config(name, address, registry, 0, NO_LIST, settings.apply(attempts)),
+            attempts -> Config.of(name, address, registry,
+                told.json(name, seeds.nextLong(), discovery.whole(name), attempts)),
+            attempts -> Config.of(name, address, registry,
+                told.json(name, 0, ProxyConfig.NO_LIST, attempts)),
             t -> new Time(t.ticker(), () -> UNIX_MS + t.nowUs() / 1000),
             network -> clients.atDoor(name, planted.apply(network)), logs::add);
     }
 
-    private static Config config(String name, InetSocketAddress address, InetSocketAddress registry,
-            long seed, String known, String settings) {
-        return Config.of(name, address, registry, "{\"name\":\"" + name + "\",\"seed\":\""
-            + Long.toHexString(seed) + "\",\"limits\":{\"sockets\":1024},\"known\":" + known
-            + ",\"settings\":" + settings + "}");
-    }
-
-    private static String grades() {
-        return RequestClass.ALL.stream().map(c -> "{\"name\":\"" + c.name() + "\",\"effect\":\"" + c.effect()
-            + "\",\"group\":\"all\",\"targetMs\":" + c.aimMs() + ".0,\"deadlineMs\":" + c.deadlineMs()
-            + ".0,\"lateWorth\":0.0,\"repeatWindowMs\":"
-            + (c.effect().equals("token") ? REPEATS_DROPPED_US / 1000 : 0) + ",\"stream\":false,\"value\":"
-            + c.worth() + "}").collect(Collectors.joining(","));
-    }
-
     /** One more node, not up yet. */
     private CacheNode node(int zone) {
         int number = made++;
--- a/src/main/java/holdproxy/lab/Troubles.java
+++ b/src/main/java/holdproxy/lab/Troubles.java
@@ -2,6 +2,7 @@
 
 import holdproxy.town.CacheNode;
 import holdproxy.town.Event;
+import holdproxy.town.ProxyConfig;
 import java.util.List;
 import java.util.stream.IntStream;
 
@@ -53,7 +54,7 @@
             }
             case RETUNE -> {
                 town.proxies.forEach(p -> p.retune(1));
-                after(f, () -> town.proxies.forEach(p -> p.retune(Town.ATTEMPTS)));
+                after(f, () -> town.proxies.forEach(p -> p.retune(ProxyConfig.ATTEMPTS)));
             }
             case ZONE_DEAD, ZONE_LOST, ZONE_SILENT -> loseZone(f);
             case ZONE_CUT -> {
--- a/src/main/java/holdproxy/rig/Relay.java
+++ b/src/main/java/holdproxy/rig/Relay.java
@@ -62,7 +62,10 @@
     /** A relay that listens at {@code address}, goes on to {@code target} and draws its jitter by a seed. */
     public static Relay open(EventLoop loop, InetSocketAddress address, InetSocketAddress target, long seed) {
         Relay relay = new Relay(loop, address, target, seed);
-        relay.bind().syncUninterruptibly();
+        ChannelFuture bound = relay.bind();
+        if (!loop.inEventLoop()) {
+            bound.syncUninterruptibly(); // there it is bound once the loop comes round
+        }
         return relay;
     }
 
@@ -142,6 +145,11 @@
                 }
             }).bind(address);
         listener = bound.channel();
+        bound.addListener(f -> {
+            if (!f.isSuccess() && !closed) {
+                System.err.println("holdproxy: a relay cannot listen on " + address + ": " + f.cause());
+            }
+        });
         return bound;
     }
 
--- /dev/null
+++ b/src/main/java/holdproxy/rig/RigTown.java
@@ -0,0 +1,358 @@
+package holdproxy.rig;
+
+import holdproxy.town.Auditors;
+import holdproxy.town.CacheNode;
+import holdproxy.town.Clients;
+import holdproxy.town.DiscoveryService;
+import holdproxy.town.Event;
+import holdproxy.town.Front;
+import holdproxy.town.MemberRegister;
+import holdproxy.town.ProxyConfig;
+import holdproxy.town.Service;
+import holdproxy.town.TownRecord;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.IntStream;
+
+/**
+ * A town of real proxies: each a process of the built program, with the model of the town on real sockets
+ * around it, a relay between any two that talk, and one record. All but the processes runs on one event loop.
+ */
+final class RigTown implements AutoCloseable {
+    private static final long CALL_US = 30_000;
+    /** Discovery lists a started node so long after. */
+    private static final double ADDED_S = 1.5;
+    /** After the last request, until the last of its tries is over. */
+    private static final double LAST_TRIES_S = 12;
+    /** A start, and an end after SIGTERM, takes a second or two; on a busy machine longer. */
+    private static final long PATIENCE_S = 120;
+    private static final int REGISTER_SLOTS = 40;
+    private static final long REGISTER_US = 60_000;
+    private static final int KEYS_KEPT = 4000;
+    private static final double COLD_FROM = 0.2;
+    private static final double COLD_S = 20;
+    private static final double QUOTA_PART = 0.83;
+    private static final String CLIENTS = "clients";
+    private static final String DISCOVERY = "discovery";
+    private static final String LISTENING = "listening on ";
+
+    private final Schedule schedule;
+    private final Path folder;
+    private final Keeper keeper;
+    private final List<String> command;
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final LoopTimeline time = new LoopTimeline(loop);
+    private final PrintWriter history;
+    private final TownRecord record;
+    private final Links links;
+    private final Front front = new Front();
+    private final List<CacheNode> nodes = new ArrayList<>();
+    private final Map<InetSocketAddress, String> nodeAt = new HashMap<>();
+    private final List<ServeProcess> proxies = new ArrayList<>();
+    /** What each process's end was brought about by, while it is: else it has crashed. */
+    private final Map<ServeProcess, String> endsBy = new HashMap<>();
+    private final Map<ServeProcess, CompletableFuture<Void>> ready = new HashMap<>();
+    private final Map<ServeProcess, CompletableFuture<Void>> over = new HashMap<>();
+    private final List<String> crashes = new ArrayList<>();
+    private DiscoveryService discovery;
+    private Clients clients;
+    private boolean ending;
+
+    /** {@code command} starts a proxy; {@code folder} takes configurations, logs and the history. */
+    RigTown(Schedule schedule, Path folder, Keeper keeper, List<String> command) throws IOException {
+        this.schedule = schedule;
+        this.folder = Files.createDirectories(folder);
+        this.keeper = keeper;
+        this.command = command;
+        history = new PrintWriter(Files.newBufferedWriter(folder.resolve("history.txt")));
+        record = new TownRecord(history::println);
+        links = new Links(loop, schedule.seed());
+    }
+
+    /** How a schedule went. */
+    record Outcome(Service service, List<Auditors.Broken> broken, List<Auditors.Broken> late) {
+    }
+
+    /** Plays it to its end. */
+    Outcome play() throws InterruptedException, ExecutionException, TimeoutException {
+        loop.submit(this::build).get();
+        for (ServeProcess p : proxies) {
+            ready.get(p).get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+        CompletableFuture<Void> asked = new CompletableFuture<>();
+        loop.execute(() -> {
+            schedule.faults().forEach(f -> after(f.atS(), () -> happen(f)));
+            clients.ask(time.nowUs() + (long) (schedule.seconds() * 1e6));
+            after(schedule.seconds() + LAST_TRIES_S, () -> asked.complete(null));
+        });
+        asked.get();
+        loop.submit(this::end).get();
+        for (ServeProcess p : proxies) {
+            over.get(p).get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+        return loop.submit(this::judge).get();
+    }
+
+    private Outcome judge() {
+        history.flush();
+        List<Event> events = record.events();
+        List<Auditors.Broken> broken = Auditors.brokenWhateverTheTime(events);
+        crashes.forEach(c -> broken.add(new Auditors.Broken("no crash", c)));
+        List<Auditors.Broken> late = new ArrayList<>(Auditors.broken(events));
+        late.removeAll(broken);
+        return new Outcome(new Service(events), broken, late);
+    }
+
+    private void after(double seconds, Runnable task) {
+        time.after((long) (seconds * 1e6), task);
+    }
+
+    private static SplittableRandom stream(long seed, String part, int number) {
+        return new SplittableRandom(seed * 0x9e3779b97f4a7c15L + part.hashCode() * 31L + number);
+    }
+
+    // ---- the town ----
+
+    private void build() {
+        List<String> names = IntStream.range(0, schedule.proxies()).mapToObj(i -> "proxy-" + i).toList();
+        discovery = new DiscoveryService(time, record, CALL_US, proxy -> false,
+            (proxy, node) -> links.between(proxy, nodeAt.get(node)).address());
+        discovery.start(links.part(DISCOVERY, names), known(1, 0));
+        MemberRegister register = new MemberRegister(time, record, REGISTER_SLOTS, REGISTER_US,
+            ProxyConfig.REPEATS_DROPPED_US);
+        double workUs = schedule.load().workMs() * 1000;
+        CacheNode.Kind kind = new CacheNode.Kind("std-1c", 1, 1, 4, 20, workUs, COLD_FROM,
+            (long) (COLD_S * 1e6), KEYS_KEPT, 30_000_000, 700, 2_500);
+        for (int i = 0; i < schedule.nodes(); i++) {
+            InetSocketAddress address = known(2, i);
+            String name = "s-" + i;
+            nodeAt.put(address, name);
+            CacheNode node = new CacheNode(name, 0, address, kind, time, links.part(name, names), record,
+                register, stream(schedule.seed(), "node", i));
+            nodes.add(node);
+            node.startWarm(schedule.load().keys());
+            list(node, "SERVING");
+        }
+        clients = new Clients(time, List.of(links.part(CLIENTS, List.of())), record,
+            stream(schedule.seed(), CLIENTS, 0), schedule.load(),
+            ProxyConfig.clubNames(schedule.load().clubs().size()), front, schedule.proxies());
+        clients.takenWhenWritten();
+        for (int i = 0; i < schedule.proxies(); i++) {
+            proxies.add(proxy(i, names.get(i)));
+            start(proxies.get(i));
+        }
+    }
+
+    /** What a part of the town is known by; nobody listens there. */
+    private static InetSocketAddress known(int net, int host) {
+        try {
+            byte[] bytes = {10, (byte) net, (byte) (host >> 8), (byte) host};
+            return new InetSocketAddress(InetAddress.getByAddress(bytes), 1);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("four bytes are an address", e);
+        }
+    }
+
+    private void list(CacheNode node, String state) {
+        long agoMs = (time.nowUs() - node.startedUs()) / 1000;
+        discovery.set(node.name, node.address, "room-north", node.kind.name(), state,
+            node.startedUs() == 0 ? 0 : System.currentTimeMillis() - agoMs);
+    }
+
+    private ServeProcess proxy(int i, String name) {
+        InetSocketAddress listens = links.free();
+        front.door(links.link(CLIENTS, name, listens), 0);
+        ProxyConfig config = new ProxyConfig(i, schedule.proxies(), 0, List.of("room-north"), COLD_FROM,
+            COLD_S, schedule.load().clubs(), schedule.nodes() / schedule.load().workMs() * 1000 * QUOTA_PART);
+        Path file = folder.resolve(name + ".json");
+        try {
+            Files.writeString(file, config.json(name, stream(schedule.seed(), "proxy", i).nextLong(),
+                discovery.whole(name), ProxyConfig.ATTEMPTS));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the configuration of " + name + " cannot be written", e);
+        }
+        Map<String, String> env = Map.of("LB_NAME", name, "LB_LISTEN", DiscoveryService.text(listens),
+            "LB_DISCOVERY", DiscoveryService.text(links.between(name, DISCOVERY).address()),
+            "LB_CONFIG", file.toString());
+        return new ServeProcess(name, command, env, folder.resolve(name + ".log"), keeper, loop);
+    }
+
+    // ---- processes ----
+
+    private void start(ServeProcess p) {
+        if (p.runs() || ending) {
+            return;
+        }
+        ready.put(p, new CompletableFuture<>());
+        over.put(p, new CompletableFuture<>());
+        endsBy.remove(p);
+        p.start(line -> {
+            if (line.contains(LISTENING) && !ready.get(p).isDone()) {
+                put(p, "started");
+                front.use(proxies.indexOf(p), true);
+                ready.get(p).complete(null);
+            }
+        }, code -> ended(p, code));
+    }
+
+    private void ended(ServeProcess p, int code) {
+        String by = endsBy.remove(p);
+        if (!"killed".equals(by)) {
+            put(p, by == null ? "ended by itself with " + code : by);
+        }
+        if (by == null || by.equals("ended") && code != 0) {
+            crashes.add(p.name + " ended " + (by == null ? "by itself" : "after SIGTERM") + " with " + code);
+        }
+        if (by == null || !by.equals("killed")) {
+            front.use(proxies.indexOf(p), false);
+        }
+        ready.get(p).complete(null); // nobody need wait for it any longer: that it ended is put down
+        over.get(p).complete(null);
+    }
+
+    private void put(ServeProcess p, String what) {
+        record.add(time.nowUs(), Event.Kind.FAULT, p.name, "", what);
+    }
+
+    /** Every process is told to end, once. */
+    private void end() {
+        ending = true;
+        for (ServeProcess p : proxies) {
+            if (p.runs()) {
+                p.resume();
+                endsBy.putIfAbsent(p, "ended");
+                p.end();
+            }
+        }
+    }
+
+    // ---- faults ----
+
+    private void happen(RigFault f) {
+        switch (f.kind()) {
+            case KILL -> kill(f);
+            case HOLD -> hold(f);
+            case RESTART -> restart(f);
+            case CRASH -> crash(f);
+            default -> links(f);
+        }
+    }
+
+    private void kill(RigFault f) {
+        ServeProcess p = proxies.get(f.target());
+        if (!p.runs()) {
+            return;
+        }
+        endsBy.put(p, "killed");
+        put(p, "killed"); // from here on: its end is seen a moment later
+        p.kill();
+        CompletableFuture<Void> gone = over.get(p);
+        after(f.noticedS(), () -> {
+            if (!p.runs()) {
+                front.use(f.target(), false);
+            }
+        });
+        if (f.forS() > 0) {
+            after(f.forS(), () -> gone.thenRun(() -> start(p)));
+        }
+    }
+
+    private void hold(RigFault f) {
+        ServeProcess p = proxies.get(f.target());
+        if (p.runs()) {
+            put(p, "held " + (long) (f.forS() * 1e6));
+            p.hold();
+            if (f.forS() > 0) {
+                after(f.forS(), p::resume);
+            }
+        }
+    }
+
+    private void restart(RigFault f) {
+        ServeProcess p = proxies.get(f.target());
+        if (p.runs() && endsBy.putIfAbsent(p, "ended") == null) {
+            put(p, "told to end");
+            p.end();
+            front.use(f.target(), false);
+            over.get(p).thenRun(() -> after(f.forS(), () -> start(p)));
+        }
+    }
+
+    private void crash(RigFault f) {
+        CacheNode node = nodes.get(f.target());
+        node.end("crash");
+        after(f.noticedS(), () -> {
+            if (!node.up()) {
+                list(node, "DELETED");
+            }
+        });
+        if (f.forS() > 0) {
+            after(f.forS(), () -> {
+                if (!node.up()) {
+                    node.startCold();
+                    after(ADDED_S, () -> list(node, "SERVING"));
+                }
+            });
+        }
+    }
+
+    private void links(RigFault f) {
+        List<Relay> met = links.matching(f.from(), f.to());
+        record.add(time.nowUs(), Event.Kind.FAULT, f.from() + ">" + f.to(), "", f.kind().word() + " "
+            + f.there() + " " + f.back());
+        switch (f.kind()) {
+            case REFUSE -> met.forEach(r -> r.refuse(true));
+            case RESET -> met.forEach(Relay::reset);
+            default -> met.forEach(r -> r.state(f.there(), f.back()));
+        }
+        if (f.forS() > 0 && f.kind() != RigFault.Kind.RESET) {
+            after(f.forS(), () -> {
+                record.add(time.nowUs(), Event.Kind.FAULT, f.from() + ">" + f.to(), "", "sound");
+                met.forEach(r -> {
+                    if (f.kind() == RigFault.Kind.REFUSE) {
+                        r.refuse(false);
+                    } else {
+                        r.state(LinkState.SOUND, LinkState.SOUND);
+                    }
+                });
+            });
+        }
+    }
+
+    /** Whatever still runs is killed, and all that was opened is closed. */
+    @Override
+    public void close() {
+        try {
+            loop.submit(() -> {
+                ending = true;
+                proxies.forEach(ServeProcess::kill);
+                links.close();
+                history.close();
+            }).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("the rig cannot be ended", e.getCause());
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/rig/Schedule.java
@@ -0,0 +1,184 @@
+package holdproxy.rig;
+
+import holdproxy.input.BadInput;
+import holdproxy.town.Load;
+import holdproxy.toml.TomlPart;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/**
+ * What a rig plays: how many processes, what is asked of them, and what is done to them; as TOML. Whatever is
+ * wrong in a file is a {@link BadInput} with its line.
+ *
+ * @param name for the report
+ * @param seed of all chance: what clients ask, what nodes are like
+ * @param seconds for which clients ask
+ * @param proxies processes, 1 to 40
+ * @param nodes cache nodes of the town, 1 to 100
+ * @param load what is asked
+ * @param faults in any order
+ */
+record Schedule(String name, long seed, double seconds, int proxies, int nodes, Load load,
+        List<RigFault> faults) {
+    private static final double LONGEST_S = 3600;
+    private static final int MOST_MS = 60_000;
+    private static final int MOST_BYTES = 1 << 30;
+    private static final int MOST_FAULTS = 6;
+    private static final double FIRST_FAULT_S = 1;
+
+    Schedule {
+        faults = List.copyOf(faults);
+    }
+
+    static Schedule read(Path file) {
+        try {
+            return read(file.getFileName().toString(), Files.readString(file));
+        } catch (IOException e) {
+            throw new BadInput("the schedule " + file + " cannot be read: " + e.getClass().getSimpleName());
+        }
+    }
+
+    /** {@code file}: its name, for errors and where the schedule states none. */
+    static Schedule read(String file, String text) {
+        TomlPart top = TomlPart.parse(file, "the schedule", text);
+        String name = top.text("name", file);
+        long seed = (long) top.number("seed", 1, 0, Long.MAX_VALUE);
+        double seconds = top.number("seconds", 15, 1, LONGEST_S);
+        TomlPart town = top.part("town");
+        int proxies = town.whole("proxies", 5, 1, 40);
+        int nodes = town.whole("nodes", 6, 1, 100);
+        town.done();
+        Load load = Load.read(top.part("load"));
+        List<RigFault> faults = new ArrayList<>();
+        for (TomlPart fault : top.parts("fault")) {
+            faults.add(fault(fault, proxies, nodes, seconds));
+        }
+        top.done();
+        return new Schedule(name, seed, seconds, proxies, nodes, load, faults);
+    }
+
+    private static RigFault fault(TomlPart p, int proxies, int nodes, double seconds) {
+        RigFault.Kind kind = RigFault.Kind.valueOf(
+            p.word("kind", RigFault.Kind.WORDS).toUpperCase(Locale.ROOT));
+        double atS = p.needed("at_s", 0, seconds);
+        double forS = kind == RigFault.Kind.RESET ? 0 : p.number("for_s", 0, 0, LONGEST_S);
+        RigFault fault;
+        if (kind.ofLinks()) {
+            String from = p.text("from", "*");
+            String to = p.text("to", "*");
+            boolean stated = kind == RigFault.Kind.LINK;
+            fault = RigFault.links(kind, atS, forS, from, to,
+                stated ? state(p.part("there")) : LinkState.SOUND,
+                stated ? state(p.part("back")) : LinkState.SOUND);
+        } else {
+            int target = kind.ofProxy() ? (int) p.needed("proxy", 0, proxies - 1)
+                : (int) p.needed("node", 0, nodes - 1);
+            fault = RigFault.process(kind, atS, forS,
+                kind.noticed() ? p.number("noticed_s", 2, 0, LONGEST_S) : 0, target);
+        }
+        p.done();
+        return fault;
+    }
+
+    private static LinkState state(TomlPart p) {
+        LinkState state = new LinkState(p.flag("cut"), p.flag("unread"), p.whole("delay_ms", 0, 0, MOST_MS),
+            p.whole("jitter_ms", 0, 0, MOST_MS), p.whole("growth_ms", 0, 0, MOST_MS),
+            p.whole("bytes_per_s", 0, 0, MOST_BYTES), p.whole("tear_after", 0, 0, MOST_BYTES));
+        p.done();
+        return state;
+    }
+
+    /** As {@link #read} takes it. */
+    String toml() {
+        StringBuilder out = new StringBuilder();
+        out.append("name = \"").append(name.replace("\\", "\\\\").replace("\"", "\\\"")).append("\"\n");
+        line(out, "seed", seed);
+        line(out, "seconds", seconds);
+        out.append("\n[town]\n");
+        line(out, "proxies", proxies);
+        line(out, "nodes", nodes);
+        out.append("\n[load]\n");
+        line(out, "rate_per_s", load.ratePerS());
+        line(out, "work_ms", load.workMs());
+        line(out, "keys", load.keys());
+        line(out, "zipf", load.zipf());
+        line(out, "retries", load.retries());
+        line(out, "clubs", load.clubs());
+        for (RigFault f : faults) {
+            out.append("\n[[fault]]\n");
+            line(out, "kind", "\"" + f.kind().word() + "\"");
+            line(out, "at_s", f.atS());
+            if (f.kind() != RigFault.Kind.RESET) {
+                line(out, "for_s", f.forS());
+            }
+            if (f.kind().ofLinks()) {
+                line(out, "from", "\"" + f.from() + "\"");
+                line(out, "to", "\"" + f.to() + "\"");
+                if (f.kind() == RigFault.Kind.LINK) {
+                    line(out, "there", state(f.there()));
+                    line(out, "back", state(f.back()));
+                }
+            } else {
+                line(out, f.kind().ofProxy() ? "proxy" : "node", f.target());
+                if (f.kind().noticed()) {
+                    line(out, "noticed_s", f.noticedS());
+                }
+            }
+        }
+        return out.toString();
+    }
+
+    private static String state(LinkState s) {
+        return "{cut = " + s.cut() + ", unread = " + s.unread() + ", delay_ms = " + s.delayMs()
+            + ", jitter_ms = " + s.jitterMs() + ", growth_ms = " + s.growthMs()
+            + ", bytes_per_s = " + s.bytesPerS() + ", tear_after = " + s.tearAfter() + "}";
+    }
+
+    private static void line(StringBuilder out, String key, Object value) {
+        out.append(key).append(" = ").append(value).append('\n');
+    }
+
+    /** A schedule of which a seed draws the faults, which may overlap. */
+    static Schedule drawn(long seed, int proxies, int nodes, double seconds) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<RigFault> faults = new ArrayList<>();
+        for (int i = 1 + random.nextInt(MOST_FAULTS); i > 0; i--) {
+            faults.add(drawnFault(random, proxies, nodes, random.nextDouble(FIRST_FAULT_S, seconds)));
+        }
+        return new Schedule("drawn-" + seed, seed, seconds, proxies, nodes, Load.PLAIN, faults);
+    }
+
+    private static RigFault drawnFault(SplittableRandom random, int proxies, int nodes, double atS) {
+        RigFault.Kind kind = RigFault.Kind.values()[random.nextInt(RigFault.Kind.values().length)];
+        double forS = random.nextDouble(0.2, 5);
+        if (!kind.ofLinks()) {
+            double noticedS = random.nextDouble(0.5, 3);
+            return RigFault.process(kind, atS, forS, kind.noticed() ? noticedS : 0,
+                random.nextInt(kind.ofProxy() ? proxies : nodes));
+        }
+        String proxy = "proxy-" + random.nextInt(proxies);
+        String node = random.nextBoolean() ? "s-*" : "s-" + random.nextInt(nodes);
+        int way = random.nextInt(4);
+        String from = way == 0 ? "clients" : proxy;
+        String to = way == 0 ? proxy : way == 1 ? "discovery" : node;
+        LinkState wrong = kind == RigFault.Kind.LINK ? drawnState(random) : LinkState.SOUND;
+        int direction = random.nextInt(3);
+        return RigFault.links(kind, atS, kind == RigFault.Kind.RESET ? 0 : forS, from, to,
+            direction == 1 ? LinkState.SOUND : wrong, direction == 0 ? LinkState.SOUND : wrong);
+    }
+
+    private static LinkState drawnState(SplittableRandom random) {
+        return switch (random.nextInt(5)) {
+            case 0 -> LinkState.CUT;
+            case 1 -> LinkState.UNREAD;
+            case 2 -> LinkState.delayed(random.nextInt(300), random.nextInt(300), random.nextInt(100));
+            case 3 -> LinkState.throttled(500 + random.nextInt(20_000));
+            default -> LinkState.torn(1 + random.nextInt(2_000));
+        };
+    }
+}
--- a/src/main/java/holdproxy/town/Auditors.java
+++ b/src/main/java/holdproxy/town/Auditors.java
@@ -26,6 +26,7 @@
     private static final double TIP_KNOWN = 2.0 / 3;
 
     private static final Map<String, Function<List<Event>, List<String>>> RULES = new LinkedHashMap<>();
+    private static final Map<String, Function<List<Event>, List<String>>> TIMELESS = new LinkedHashMap<>();
 
     static {
         RULES.put("one answer", Auditors::oneAnswer);
@@ -37,6 +38,11 @@
         RULES.put("figures", Auditors::figures);
         RULES.put("harmless refusals", Auditors::harmlessRefusals);
         RULES.put("cold nodes", Auditors::coldNodes);
+        TIMELESS.put("unasked answers", Auditors::unasked);
+        TIMELESS.put("honest values", Auditors::honestValues);
+        TIMELESS.put("attempts", Auditors::attempts);
+        TIMELESS.put("once", Auditors::once);
+        TIMELESS.put("harmless refusals", Auditors::harmlessRefusals);
     }
 
     /** A rule that was broken, and what shows it. */
@@ -52,11 +58,27 @@
 
     /** What any of them found. */
     public static List<Broken> broken(List<Event> events) {
+        return broken(RULES, events);
+    }
+
+    /** The same for the rules that ask what happened, and not within what time: those of real time. */
+    public static List<Broken> brokenWhateverTheTime(List<Event> events) {
+        return broken(TIMELESS, events);
+    }
+
+    private static List<Broken> broken(Map<String, Function<List<Event>, List<String>>> rules,
+            List<Event> events) {
         List<Broken> found = new ArrayList<>();
-        RULES.forEach((rule, auditor) -> auditor.apply(events).forEach(w -> found.add(new Broken(rule, w))));
+        rules.forEach((rule, auditor) -> auditor.apply(events).forEach(w -> found.add(new Broken(rule, w))));
         return found;
     }
 
+    /** An answer comes to somebody who waits for one, whoever has left meanwhile. */
+    static List<String> unasked(List<Event> events) {
+        return events.stream().filter(e -> e.kind() == Event.Kind.ANSWERED && e.id().isEmpty())
+            .map(e -> "an answer that nobody waits for: " + e).toList();
+    }
+
     /**
      * A request that a proxy has taken gets exactly one answer before its client leaves, and no one gets
      * another. Excused is what was out at a proxy that was killed or stood still by the town's doing, or that
@@ -235,28 +257,37 @@
 
     /** An enrolment runs once at most; a renewal's repeats come within the time in which they are dropped. */
     public static List<String> repeats(List<Event> events) {
-        List<String> found = new ArrayList<>();
+        List<String> found = once(events);
         Map<String, String> classOf = new HashMap<>();
         Map<String, Long> firstAt = new HashMap<>();
-        Set<String> applied = new HashSet<>();
         for (Event e : events) {
-            switch (e.kind()) {
-                case ASKED -> classOf.put(e.id(), e.word(0));
-                case ARRIVED -> {
-                    long first = firstAt.getOrDefault(e.id(), e.us());
-                    firstAt.put(e.id(), first);
-                    if ("renewal".equals(classOf.get(e.id())) && e.us() - first > REPEAT_US) {
-                        found.add("a renewal repeated too late: " + e);
-                    }
+            if (e.kind() == Event.Kind.ASKED) {
+                classOf.put(e.id(), e.word(0));
+            } else if (e.kind() == Event.Kind.ARRIVED) {
+                long first = firstAt.getOrDefault(e.id(), e.us());
+                firstAt.put(e.id(), first);
+                if ("renewal".equals(classOf.get(e.id())) && e.us() - first > REPEAT_US) {
+                    found.add("a renewal repeated too late: " + e);
                 }
-                case APPLIED -> {
-                    // a renewal's key may run again when its client tries again later; an enrolment's never
-                    boolean once = "enrolment".equals(classOf.get(e.id()));
-                    if (!applied.add(once ? e.detail() : e.id())) {
-                        found.add("a write has run twice: " + e);
-                    }
+            }
+        }
+        return found;
+    }
+
+    /** No try of a write is applied twice, and an enrolment not with another try either. */
+    static List<String> once(List<Event> events) {
+        List<String> found = new ArrayList<>();
+        Map<String, String> classOf = new HashMap<>();
+        Set<String> applied = new HashSet<>();
+        for (Event e : events) {
+            if (e.kind() == Event.Kind.ASKED) {
+                classOf.put(e.id(), e.word(0));
+            } else if (e.kind() == Event.Kind.APPLIED) {
+                // a renewal's key may run again when its client tries again later; an enrolment's never
+                boolean once = "enrolment".equals(classOf.get(e.id()));
+                if (!applied.add(once ? e.detail() : e.id())) {
+                    found.add("a write has run twice: " + e);
                 }
-                default -> { }
             }
         }
         return found;
--- a/src/main/java/holdproxy/town/Clients.java
+++ b/src/main/java/holdproxy/town/Clients.java
@@ -48,6 +48,7 @@
     private final List<ArrayDeque<Connection>> free = new ArrayList<>();
     /** Tries whose last byte a proxy has read. */
     private final Set<String> taken = new HashSet<>();
+    private boolean takenWhenWritten;
     private double hot;
     private long untilUs;
     private long wants;
@@ -86,6 +87,14 @@
         next();
     }
 
+    /**
+     * Nobody stands at the proxies' doors to see what they read: what was written to one may have run, and a
+     * connection that ends under it is no reason to ask for the same once more.
+     */
+    public void takenWhenWritten() {
+        takenWhenWritten = true;
+    }
+
     /** A club asks so many times as often from now on. */
     public void surge(int club, double factor) {
         times[club] = factor;
@@ -305,6 +314,10 @@
             waits = want;
             String id = want.id();
             channel.writeAndFlush(Unpooled.copiedBuffer(want.bytes(), StandardCharsets.ISO_8859_1));
+            if (takenWhenWritten) {
+                taken.add(id);
+                add(Event.Kind.TAKEN, id, "");
+            }
             add(Event.Kind.ASKED, id, want.type.name() + " " + (want.type.write() ? "k" + want.number : "-")
                 + " " + want.waitMs);
             loop.after(want.waitMs * 1000L, () -> leave(want, id));
--- a/src/main/java/holdproxy/town/DiscoveryService.java
+++ b/src/main/java/holdproxy/town/DiscoveryService.java
@@ -22,19 +22,22 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 import java.util.function.Predicate;
 
 /** The platform's list of nodes over HTTP: one call after another, and watches that are told of changes. */
 public final class DiscoveryService {
     private static final long BEAT_US = 2_000_000;
 
-    private record Change(long version, String node, String entry, String state, long startedMs) {
+    private record Change(long version, String node, InetSocketAddress address, String zone, String kind,
+            String state, long startedMs) {
     }
 
     private final Timeline loop;
     private final TownRecord record;
     private final long callUs;
     private final Predicate<String> unheard;
+    private final BiFunction<String, InetSocketAddress, InetSocketAddress> places;
     private final List<Change> changes = new ArrayList<>();
     /** Watches and the proxy behind each. */
     private final Map<Channel, String> watches = new LinkedHashMap<>();
@@ -44,9 +47,14 @@
     private long freeAtUs;
     private boolean down;
 
-    /** Each call takes {@code callUs}; {@code unheard}: whether a proxy is not reached by what it is told. */
-    public DiscoveryService(Timeline loop, TownRecord record, long callUs, Predicate<String> unheard) {
+    /**
+     * Each call takes {@code callUs}; {@code unheard}: whether a proxy is not reached by what it is told;
+     * {@code places}: where a proxy finds a node that is at this address.
+     */
+    public DiscoveryService(Timeline loop, TownRecord record, long callUs, Predicate<String> unheard,
+            BiFunction<String, InetSocketAddress, InetSocketAddress> places) {
         this.unheard = unheard;
+        this.places = places;
         this.loop = loop;
         this.record = record;
         this.callUs = callUs;
@@ -71,10 +79,7 @@
     /** A node's state is from now on: SERVING, DRAINING or DELETED. */
     public void set(String node, InetSocketAddress address, String zone, String kind, String state,
             long startedMs) {
-        String entry = "{\"id\":\"" + node + "\",\"addr\":\"" + text(address) + "\",\"zone\":\"" + zone
-            + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
-            + "\",\"weight\":1.0,\"started_ms\":" + startedMs + "}";
-        Change change = new Change(++version, node, entry, state, startedMs);
+        Change change = new Change(++version, node, address, zone, kind, state, startedMs);
         changes.add(change);
         if (state.equals("DELETED")) {
             latest.remove(node);
@@ -82,7 +87,7 @@
             latest.put(node, change);
         }
         watches.forEach((watch, proxy) -> {
-            chunk(watch, list(false, List.of(change)));
+            chunk(watch, list(proxy, false, List.of(change)));
             told(proxy, change);
         });
     }
@@ -90,12 +95,19 @@
     /** The whole list as it is now, told to a proxy that starts with it. */
     public String whole(String proxy) {
         latest.values().forEach(c -> told(proxy, c));
-        return list(true, List.copyOf(latest.values()));
+        return list(proxy, true, List.copyOf(latest.values()));
     }
 
-    private String list(boolean full, List<Change> entries) {
+    private String list(String proxy, boolean full, List<Change> entries) {
         return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
-            + String.join(",", entries.stream().map(Change::entry).toList()) + "]}";
+            + String.join(",", entries.stream().map(c -> entry(proxy, c)).toList()) + "]}";
+    }
+
+    private String entry(String proxy, Change c) {
+        String address = text(places.apply(proxy, c.address));
+        return "{\"id\":\"" + c.node + "\",\"addr\":\"" + address + "\",\"zone\":\"" + c.zone
+            + "\",\"kind\":\"" + c.kind + "\",\"cell\":0,\"state\":\"" + c.state + "\",\"weight\":1.0,"
+            + "\"started_ms\":" + c.startedMs + "}";
     }
 
     private void told(String proxy, Change change) {
@@ -142,7 +154,7 @@
             String proxy = network.peer(ch);
             long since = asked.containsKey("index") ? Long.parseLong(asked.get("index").get(0)) : 0;
             List<Change> missed = changes.stream().filter(c -> c.version > since).toList();
-            chunk(ch, list(false, missed));
+            chunk(ch, list(proxy, false, missed));
             missed.forEach(c -> told(proxy, c));
             watches.put(ch, proxy);
         }
--- a/src/main/java/holdproxy/town/Load.java
+++ b/src/main/java/holdproxy/town/Load.java
@@ -1,6 +1,9 @@
 package holdproxy.town;
 
+import holdproxy.toml.TomlPart;
+import java.util.ArrayList;
 import java.util.List;
+import org.tomlj.TomlArray;
 
 /**
  * What is asked.
@@ -13,4 +16,29 @@
  * @param clubs shares of the load, in the order of the settings
  */
 public record Load(double ratePerS, double workMs, int keys, double zipf, int retries, List<Double> clubs) {
+    public static final Load PLAIN = new Load(62, 40, 20_000, 0.9, 2, List.of(0.45, 0.37, 0.18));
+
+    /** As scenario files have it; what is not stated is as {@link #PLAIN} has it. */
+    public static Load read(TomlPart p) {
+        Load d = PLAIN;
+        double ratePerS = p.number("rate_per_s", d.ratePerS(), 0.1, 100_000);
+        double workMs = p.number("work_ms", d.workMs(), 0.01, 10_000);
+        int keys = p.whole("keys", d.keys(), 1, 10_000_000);
+        double zipf = p.number("zipf", d.zipf(), 0, 5);
+        int retries = p.whole("retries", d.retries(), 0, 10);
+        List<Double> clubs = new ArrayList<>();
+        TomlArray shares = p.array("clubs");
+        for (int i = 0; shares != null && i < shares.size(); i++) {
+            if (!(shares.get(i) instanceof Double share) || share <= 0 || share > 1) {
+                throw p.bad(shares.inputPositionOf(i), "clubs holds something else than shares from 0 to 1");
+            }
+            clubs.add(share);
+        }
+        p.done();
+        double sum = clubs.stream().mapToDouble(c -> c).sum();
+        if (!clubs.isEmpty() && Math.abs(sum - 1) > 1e-6) {
+            throw p.bad(p.at("clubs"), "the shares of clubs make " + sum + " and not 1");
+        }
+        return new Load(ratePerS, workMs, keys, zipf, retries, clubs.isEmpty() ? d.clubs() : clubs);
+    }
 }
--- a/src/main/java/holdproxy/town/TownRecord.java
+++ b/src/main/java/holdproxy/town/TownRecord.java
@@ -7,13 +7,26 @@
 import java.util.Collections;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** All that happened in a town, in its order. */
 public final class TownRecord {
     private final List<Event> events = new ArrayList<>();
+    private final Consumer<Event> also;
+
+    public TownRecord() {
+        this(e -> { });
+    }
+
+    /** {@code also} is told of each event as it is put down. */
+    public TownRecord(Consumer<Event> also) {
+        this.also = also;
+    }
 
     public void add(long us, Event.Kind kind, String where, String id, String detail) {
-        events.add(new Event(us, kind, where, id, detail));
+        Event event = new Event(us, kind, where, id, detail);
+        events.add(event);
+        also.accept(event);
     }
 
     public List<Event> events() {
--- a/src/test/java/holdproxy/ArchitectureTest.java
+++ b/src/test/java/holdproxy/ArchitectureTest.java
@@ -39,7 +39,7 @@
 
     @Test
     void onlyTownsAndTheLabKnowTheLibrariesThatServiceDoesWithout() {
-        noClasses().that().resideOutsideOfPackages("holdproxy.lab..", "holdproxy.town..").should().dependOnClassesThat()
+        noClasses().that().resideOutsideOfPackages("holdproxy.lab..", "holdproxy.town..", "holdproxy.toml..", "holdproxy.rig..").should().dependOnClassesThat()
                 .resideInAnyPackage("picocli..", "org.tomlj..", "org.HdrHistogram..", "org.jfree..").check(MAIN);
     }
 
@@ -47,10 +47,17 @@
     void townsKnowOfTheProxyNothingButHowConnectionsAreMade() {
         noClasses().that().resideInAPackage("holdproxy.town").should().dependOnClassesThat(
                 JavaClass.Predicates.resideInAnyPackage("holdproxy..").and(not(
-                        JavaClass.Predicates.resideInAPackage("holdproxy.town")
+                        JavaClass.Predicates.resideInAnyPackage("holdproxy.town", "holdproxy.toml")
                                 .or(JavaClass.Predicates.simpleName("Transport"))))).check(MAIN);
     }
 
+    @Test
+    void theRigKnowsOfTheProgramNoMoreThanItsTowns() {
+        noClasses().that().resideInAPackage("holdproxy.rig").should().dependOnClassesThat()
+                .resideInAnyPackage("holdproxy.net..", "holdproxy.policy..", "holdproxy.console..", "holdproxy.lab..",
+                        "holdproxy.sim..").check(MAIN);
+    }
+
     @Test
     void auditorsShareNoCodeWithTheProxy() {
         noClasses().that().haveSimpleName("Auditors").or().haveSimpleName("MetaLines").should()
--- /dev/null
+++ b/src/test/java/holdproxy/rig/RigTest.java
@@ -0,0 +1,166 @@
+package holdproxy.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.input.BadInput;
+import holdproxy.town.Auditors;
+import holdproxy.town.Event;
+import holdproxy.town.Load;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes of this program, what is done to them, and what becomes of them when the rig is killed. */
+class RigTest {
+    private static final long END_S = 120;
+    /** Longer than any test: what still runs then was not ended by its rig. */
+    private static final double LONG_S = 600;
+
+    @TempDir
+    Path folder;
+
+    private static Schedule schedule(double seconds, int proxies, RigFault... faults) {
+        return new Schedule("test", 1, seconds, proxies, 4, Load.PLAIN, List.of(faults));
+    }
+
+    private static RigFault process(RigFault.Kind kind, double atS, double forS, int target) {
+        return RigFault.process(kind, atS, forS, 0.5, target);
+    }
+
+    private RigTown.Outcome play(Schedule schedule, List<String> command) throws Exception {
+        try (Keeper keeper = Keeper.start(RigCommand.self("rig", "keep"));
+                RigTown town = new RigTown(schedule, folder, keeper, command)) {
+            return town.play();
+        }
+    }
+
+    private String history() throws IOException {
+        return Files.readString(folder.resolve("history.txt"));
+    }
+
+    @Test
+    void proxiesThatAreKilledStoppedAndRestartedWhileLinksFailKeepTheRules() throws Exception {
+        RigTown.Outcome outcome = play(schedule(6, 3, process(RigFault.Kind.KILL, 1, 1, 0),
+            process(RigFault.Kind.HOLD, 2, 1.5, 1), process(RigFault.Kind.RESTART, 3.5, 0.2, 2),
+            process(RigFault.Kind.CRASH, 2, 2, 0),
+            RigFault.links(RigFault.Kind.LINK, 2.5, 2, "proxy-2", "s-*", LinkState.CUT, LinkState.SOUND),
+            RigFault.links(RigFault.Kind.LINK, 1, 3, "proxy-1", "s-1", LinkState.SOUND, LinkState.torn(40)),
+            RigFault.links(RigFault.Kind.REFUSE, 3, 1, "proxy-*", "s-2", LinkState.SOUND, LinkState.SOUND),
+            RigFault.links(RigFault.Kind.RESET, 4, 0, "clients", "proxy-1", LinkState.SOUND, LinkState.SOUND)),
+            RigCommand.self("serve"));
+        assertEquals(List.of(), outcome.broken());
+        assertTrue(outcome.service().served() > 50, outcome.service().figures().toString());
+        String history = history();
+        for (String happened : List.of("proxy-0  killed", "proxy-1  held 1500000", "proxy-2  told to end",
+                "proxy-2  ended", "s-0  crash", "proxy-2>s-*  link", "proxy-*>s-2  refuse", "clients>proxy-1  reset")) {
+            assertTrue(history.contains("FAULT " + happened), happened + " is not in the history");
+        }
+        assertEquals(2, history.lines().filter(l -> l.contains("FAULT proxy-0  started")).count(), "two lives");
+    }
+
+    /** The fault that the judge is to find: a program that ends by itself. */
+    @Test
+    void aProcessThatEndsByItselfIsACrash() throws Exception {
+        List<String> ends = List.of("sh", "-c", "echo 'listening on nothing'; exit 3");
+        RigTown.Outcome outcome = play(schedule(1, 1), ends);
+        assertEquals(List.of("no crash"), outcome.broken().stream().map(Auditors.Broken::rule).toList());
+        assertTrue(outcome.broken().get(0).what().endsWith("with 3"), outcome.broken().toString());
+    }
+
+    @Test
+    void whatIsBrokenWhateverTheTimeIsFound() {
+        List<Event> events = List.of(new Event(1, Event.Kind.ASKED, "proxy-0", "a1", "enrolment ka 2000"),
+            new Event(2, Event.Kind.APPLIED, "register", "a1", "ka"),
+            new Event(3, Event.Kind.ANSWERED, "proxy-0", "a1", "SERVER_ERROR busy"),
+            new Event(4, Event.Kind.ANSWERED, "proxy-0", "", "HD Oa1 cr1"),
+            new Event(5, Event.Kind.APPLIED, "register", "a2", "ka"));
+        assertEquals(List.of("unasked answers", "harmless refusals"), rules(events));
+        List<Event> again = new ArrayList<>(events);
+        again.add(4, new Event(4, Event.Kind.ASKED, "proxy-0", "a2", "enrolment ka 2000"));
+        assertEquals(List.of("unasked answers", "once", "harmless refusals"), rules(again));
+    }
+
+    private static List<String> rules(List<Event> events) {
+        return Auditors.brokenWhateverTheTime(events).stream().map(Auditors.Broken::rule).toList();
+    }
+
+    @Test
+    void aRigThatIsKilledTakesItsProcessesAlong() throws Exception {
+        Path file = folder.resolve("long.toml");
+        Files.writeString(file, schedule(LONG_S, 2, process(RigFault.Kind.HOLD, 0, 0, 1)).toml());
+        Process rig = new ProcessBuilder(RigCommand.self("rig", "run", file.toString(), "--out", folder.toString()))
+            .redirectErrorStream(true).redirectOutput(folder.resolve("out.txt").toFile()).start();
+        try {
+            await(() -> Files.exists(folder.resolve("history.txt")) && ofRig().size() == 2
+                && IntStream.range(0, 2).allMatch(this::listens));
+            Set<ProcessHandle> started = ofRig();
+            assertEquals(2, started.size());
+            rig.destroyForcibly().waitFor();
+            await(() -> started.stream().noneMatch(ProcessHandle::isAlive));
+        } finally {
+            rig.destroyForcibly();
+        }
+    }
+
+    private boolean listens(int proxy) {
+        try {
+            Path log = folder.resolve("proxy-" + proxy + ".log");
+            return Files.exists(log) && Files.readString(log).contains("listening on");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Processes whose configuration is in this test's folder: their environment says so, where it can be read. */
+    private Set<ProcessHandle> ofRig() {
+        return ProcessHandle.allProcesses().filter(p -> {
+            try {
+                return Files.readString(Path.of("/proc/" + p.pid() + "/environ")).contains("LB_CONFIG=" + folder);
+            } catch (IOException e) {
+                return false;
+            }
+        }).collect(Collectors.toSet());
+    }
+
+    private interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private static void await(Condition condition) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_S);
+        while (!condition.holds()) {
+            assertTrue(System.nanoTime() < endNs, "it never came to be");
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void aScheduleIsWrittenAsItIsReadAndMistakesAreNamedWithTheirLine() {
+        for (long seed = 1; seed <= 50; seed++) {
+            Schedule drawn = Schedule.drawn(seed, 5, 6, 10);
+            assertEquals(drawn, Schedule.read("f", drawn.toml()), "seed " + seed);
+        }
+        assertBad("[town]\nproxies = 41", "f line 2: proxies in [town] is not a number from 1.0 to 40.0");
+        assertBad("[[fault]]\nkind = \"kill\"\nat_s = 1\nproxy = 7", "f line 4: proxy in [[fault]]");
+        assertBad("[[fault]]\nat_s = 1", "f line 1: kind in [[fault]] is not one of kill, hold");
+        assertBad("[[fault]]\nkind = \"link\"\nat_s = 1\nthere = {cut = 1}", "f line 4: cut in [there] is neither");
+        assertBad("[[fault]]\nkind = \"reset\"\nat_s = 1\nproxy = 0", "f line 4: proxy is unknown in [[fault]]");
+        assertFalse(Schedule.drawn(1, 5, 6, 10).equals(Schedule.drawn(2, 5, 6, 10)));
+    }
+
+    private static void assertBad(String text, String why) {
+        String said = assertThrows(BadInput.class, () -> Schedule.read("f", text)).getMessage();
+        assertTrue(said.startsWith(why), said);
+    }
+}
