Two imports that the town no longer uses

Need: found on reading the change again; ProxyConfig has taken over what they served. Measured: ModuleLimitsTest, ArchitectureTest, TownTest, AuditorsTest and ZonesTest pass; nothing else changed.

--- a/src/main/java/holdproxy/lab/Town.java
+++ b/src/main/java/holdproxy/lab/Town.java
@@ -21,9 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
