--- a/src/main/java/holdproxy/lab/LabCommand.java
+++ b/src/main/java/holdproxy/lab/LabCommand.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import holdproxy.input.BadInput;
+import holdproxy.town.Auditors;
+import holdproxy.town.Service;
 import io.netty.util.ResourceLeakDetector;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/holdproxy/lab/LoadOptions.java
+++ b/src/main/java/holdproxy/lab/LoadOptions.java
@@ -1,6 +1,7 @@
 package holdproxy.lab;
 
 import holdproxy.input.BadInput;
+import holdproxy.town.Load;
 import java.nio.file.Path;
 import java.util.Collections;
 import java.util.List;
@@ -49,9 +50,9 @@
     /** The town of each seed, asked this part of what its nodes can do. */
     List<Scenario> towns(double load, double seconds, List<Fault> faults) {
         return LongStream.range(from, from + seeds).mapToObj(seed -> {
-            Scenario.Load plain = Scenario.PLAIN;
+            Load plain = Scenario.PLAIN;
             Scenario s = new Scenario("load", seed, seconds, Scenario.SMALL,
-                new Scenario.Load(1, workMs, plain.keys(), plain.zipf(), retries, clubs()), faults)
+                new Load(1, workMs, plain.keys(), plain.zipf(), retries, clubs()), faults)
                 .withTown(proxies, nodes);
             return s.withRate(load * Town.capacityPerS(s));
         }).toList();
--- a/src/main/java/holdproxy/lab/LoadSeries.java
+++ b/src/main/java/holdproxy/lab/LoadSeries.java
@@ -1,5 +1,9 @@
 package holdproxy.lab;
 
+import holdproxy.town.Auditors;
+import holdproxy.town.Event;
+import holdproxy.town.MetaLines;
+import holdproxy.town.RequestClass;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/holdproxy/lab/MemoryNetwork.java
+++ b/src/main/java/holdproxy/lab/MemoryNetwork.java
@@ -1,6 +1,7 @@
 package holdproxy.lab;
 
-import holdproxy.net.Transport;
+import holdproxy.town.TownNetwork;
+import holdproxy.town.Clients;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -122,7 +123,7 @@
     }
 
     /** The network as one process has it: those that it connects to see its name. */
-    final class Process implements Transport {
+    final class Process implements TownNetwork {
         private final String name;
         private final VirtualLoop loop;
         private final int zone;
@@ -201,6 +202,11 @@
             channel.close();
         }
 
+        @Override
+        public String peer(Channel accepted) {
+            return MemoryNetwork.peer(accepted);
+        }
+
         /** It is gone: what it had open ends at once, unsaid what it had still to say. On its own loop. */
         void die() {
             over = true;
--- a/src/main/java/holdproxy/lab/Play.java
+++ b/src/main/java/holdproxy/lab/Play.java
@@ -1,6 +1,10 @@
 package holdproxy.lab;
 
 import holdproxy.net.Transport;
+import holdproxy.town.Auditors;
+import holdproxy.town.Event;
+import holdproxy.town.Service;
+import holdproxy.town.ZoneReport;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/holdproxy/lab/ScenarioFile.java
+++ b/src/main/java/holdproxy/lab/ScenarioFile.java
@@ -1,6 +1,7 @@
 package holdproxy.lab;
 
 import holdproxy.input.BadInput;
+import holdproxy.town.Load;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -50,7 +51,7 @@
         Scenario.Size size = size(town);
         Scenario.Rooms rooms = rooms(town);
         town.done();
-        Scenario.Load load = load(top.part("load"));
+        Load load = load(top.part("load"));
         List<Fault> faults = new ArrayList<>();
         TomlArray array = top.array("fault");
         for (int i = 0; array != null && i < array.size(); i++) {
@@ -98,8 +99,8 @@
         return new Scenario.Rooms(zones, delays.isEmpty() ? List.of(0.0) : delays);
     }
 
-    private static Scenario.Load load(Part p) {
-        Scenario.Load d = Scenario.PLAIN;
+    private static Load load(Part p) {
+        Load d = Scenario.PLAIN;
         double ratePerS = p.number("rate_per_s", d.ratePerS(), 0.1, 100_000);
         double workMs = p.number("work_ms", d.workMs(), 0.01, 10_000);
         int keys = p.whole("keys", d.keys(), 1, 10_000_000);
@@ -118,10 +119,10 @@
         if (!clubs.isEmpty() && Math.abs(sum - 1) > 1e-6) {
             throw p.bad(p.at("clubs"), "the shares of clubs make " + sum + " and not 1");
         }
-        return new Scenario.Load(ratePerS, workMs, keys, zipf, retries, clubs.isEmpty() ? d.clubs() : clubs);
+        return new Load(ratePerS, workMs, keys, zipf, retries, clubs.isEmpty() ? d.clubs() : clubs);
     }
 
-    private static Fault fault(Part p, Scenario.Size size, Scenario.Load load, int zones, double seconds) {
+    private static Fault fault(Part p, Scenario.Size size, Load load, int zones, double seconds) {
         String word = p.text("kind", "");
         Fault.Kind kind = null;
         for (Fault.Kind k : Fault.Kind.values()) {
--- a/src/main/java/holdproxy/lab/Town.java
+++ b/src/main/java/holdproxy/lab/Town.java
@@ -3,6 +3,15 @@
 import holdproxy.net.Config;
 import holdproxy.net.Time;
 import holdproxy.net.Transport;
+import holdproxy.town.CacheNode;
+import holdproxy.town.Clients;
+import holdproxy.town.DiscoveryService;
+import holdproxy.town.Event;
+import holdproxy.town.Front;
+import holdproxy.town.Load;
+import holdproxy.town.MemberRegister;
+import holdproxy.town.RequestClass;
+import holdproxy.town.TownRecord;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -78,7 +87,7 @@
     Town(Scenario scenario, UnaryOperator<Transport> planted) {
         this.scenario = scenario;
         Scenario.Size size = scenario.town();
-        Scenario.Load load = scenario.load();
+        Load load = scenario.load();
         zones = new Zones(scenario.rooms().zones(), scenario.rooms().delaysMs(), stream("zones", 0));
         network = new MemoryNetwork(zones, (from, byPeople, to, zone, what) -> record.add(time.nowUs(),
             Event.Kind.LOST, to, from, what + " " + byPeople + " " + zone));
--- a/src/main/java/holdproxy/lab/Troubles.java
+++ b/src/main/java/holdproxy/lab/Troubles.java
@@ -1,5 +1,7 @@
 package holdproxy.lab;
 
+import holdproxy.town.CacheNode;
+import holdproxy.town.Event;
 import java.util.List;
 import java.util.stream.IntStream;
 
--- a/src/main/java/holdproxy/lab/VirtualLoop.java
+++ b/src/main/java/holdproxy/lab/VirtualLoop.java
@@ -1,5 +1,6 @@
 package holdproxy.lab;
 
+import holdproxy.town.Timeline;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelPromise;
@@ -22,7 +23,7 @@
  * end. Netty's own {@code ManualIoEventLoop} takes its thread for its identity, and here all loops share
  * one: what one does to another's channels has to wait for that one's turn, as between processes.
  */
-final class VirtualLoop extends AbstractScheduledEventExecutor implements IoEventLoop {
+final class VirtualLoop extends AbstractScheduledEventExecutor implements IoEventLoop, Timeline {
     private final VirtualTime time;
     private final boolean strict;
     private final Thread thread = Thread.currentThread();
@@ -39,11 +40,13 @@
         handler = LocalIoHandler.newFactory().newHandler(this);
     }
 
-    long nowUs() {
+    @Override
+    public long nowUs() {
         return time.nowUs();
     }
 
-    void after(long delayUs, Runnable task) {
+    @Override
+    public void after(long delayUs, Runnable task) {
         schedule(task, Math.max(0, delayUs), TimeUnit.MICROSECONDS);
     }
 
--- a/src/main/java/holdproxy/lab/Auditors.java
+++ b/src/main/java/holdproxy/town/Auditors.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,9 +14,9 @@
  * The rules (BRIEF and PROTOCOL-pebbletide.md), judged on the town's own record after a run. Each
  * returns what it found broken, in the order of the record; none shares code with the proxy.
  */
-final class Auditors {
+public final class Auditors {
     /** The figures of the rules; each time limit on sockets is 50 ms longer. */
-    static final int ATTEMPTS = 3;
+    public static final int ATTEMPTS = 3;
     private static final long SLACK_US = 50_000;
     private static final long DRAIN_US = 500_000 + SLACK_US;
     private static final long REPEAT_US = 2_500_000 + SLACK_US;
@@ -40,7 +40,7 @@
     }
 
     /** A rule that was broken, and what shows it. */
-    record Broken(String rule, String what) {
+    public record Broken(String rule, String what) {
         @Override
         public String toString() {
             return rule + ": " + what;
@@ -51,7 +51,7 @@
     }
 
     /** What any of them found. */
-    static List<Broken> broken(List<Event> events) {
+    public static List<Broken> broken(List<Event> events) {
         List<Broken> found = new ArrayList<>();
         RULES.forEach((rule, auditor) -> auditor.apply(events).forEach(w -> found.add(new Broken(rule, w))));
         return found;
@@ -62,7 +62,7 @@
      * another. Excused is what was out at a proxy that was killed or stood still by the town's doing, or that
      * had messages to or from clients lost or late by the state of a zone.
      */
-    static List<String> oneAnswer(List<Event> events) {
+    public static List<String> oneAnswer(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Long> askedAt = new HashMap<>();
         Map<String, Long> heldUntil = new HashMap<>();
@@ -108,7 +108,7 @@
     }
 
     /** What is served was made for this very request by a node or the register. */
-    static List<String> honestValues(List<Event> events) {
+    public static List<String> honestValues(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Set<String>> made = new HashMap<>();
         for (Event e : events) {
@@ -131,7 +131,7 @@
     }
 
     /** No request is sent more often than the settings allowed that its proxy had when it came. */
-    static List<String> attempts(List<Event> events) {
+    public static List<String> attempts(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Integer> sent = new HashMap<>();
         Map<String, Integer> allowedAt = new HashMap<>();
@@ -150,7 +150,7 @@
     }
 
     /** Nothing new goes to a node that operators left out later than the grace, until it is used again. */
-    static List<String> leftOut(List<Event> events) {
+    public static List<String> leftOut(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Long> outSince = new HashMap<>();
         for (Event e : events) {
@@ -175,7 +175,7 @@
      * What a proxy shows at the end is what its clients and nodes saw since it was started. Only what a
      * client abandoned may be counted or not, and what was written may be lost under way.
      */
-    static List<String> figures(List<Event> events) {
+    public static List<String> figures(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Seen> seen = new HashMap<>();
         for (Event e : events) {
@@ -234,7 +234,7 @@
     }
 
     /** An enrolment runs once at most; a renewal's repeats come within the time in which they are dropped. */
-    static List<String> repeats(List<Event> events) {
+    public static List<String> repeats(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, String> classOf = new HashMap<>();
         Map<String, Long> firstAt = new HashMap<>();
@@ -263,7 +263,7 @@
     }
 
     /** Nothing new goes to a node later than the grace after its proxy was told that it drains or is gone. */
-    static List<String> drains(List<Event> events) {
+    public static List<String> drains(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Map<String, Long>> toldAt = new HashMap<>();
         for (Event e : events) {
@@ -294,7 +294,7 @@
      * "Busy" promises that trying again is harmless: an enrolment so answered never runs, not later
      * either.
      */
-    static List<String> harmlessRefusals(List<Event> events) {
+    public static List<String> harmlessRefusals(List<Event> events) {
         List<String> found = new ArrayList<>();
         Set<String> enrolments = new HashSet<>();
         Set<String> ran = new HashSet<>();
@@ -356,7 +356,7 @@
     }
 
     /** The proxies together send no cold node more than it can stand; each node is named once a start. */
-    static List<String> coldNodes(List<Event> events) {
+    public static List<String> coldNodes(List<Event> events) {
         List<String> found = new ArrayList<>();
         Map<String, Started> started = new HashMap<>();
         Map<String, Set<String>> knowing = new HashMap<>();
--- a/src/main/java/holdproxy/lab/CacheNode.java
+++ b/src/main/java/holdproxy/town/CacheNode.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -23,7 +23,7 @@
  * away. A started node has {@code coldFrom} of its speed and comes up to all of it over {@code coldUs}; sent
  * over {@code TIP} times what it can do then for {@code TIP_US}, it falls over and stays down.
  */
-final class CacheNode {
+public final class CacheNode {
     /**
      * What a node is made of.
      *
@@ -40,8 +40,8 @@
      * @param connections that it takes; on more it says busy
      * @param handshakeUs work of a new connection on a standard core, before its first request's
      */
-    record Kind(String name, int cores, double speed, int slots, int queue, double workUs, double coldFrom,
-            long coldUs, int keys, long ttlUs, int connections, double handshakeUs) {
+    public record Kind(String name, int cores, double speed, int slots, int queue, double workUs,
+            double coldFrom, long coldUs, int keys, long ttlUs, int connections, double handshakeUs) {
     }
 
     /** A command and the connection that is due its answer. */
@@ -67,12 +67,12 @@
     private static final double TIP = 4;
     private static final long TIP_US = 2_000_000;
 
-    final String name;
-    final int zone;
-    final InetSocketAddress address;
-    final Kind kind;
-    private final VirtualLoop loop;
-    private final MemoryNetwork.Process process;
+    public final String name;
+    public final int zone;
+    public final InetSocketAddress address;
+    public final Kind kind;
+    private final Timeline loop;
+    private final TownNetwork process;
     private final TownRecord record;
     private final MemberRegister register;
     private final SplittableRandom random;
@@ -93,8 +93,8 @@
     private long made;
     private int life;
 
-    CacheNode(String name, int zone, InetSocketAddress address, Kind kind, VirtualLoop loop,
-            MemoryNetwork.Process process, TownRecord record, MemberRegister register,
+    public CacheNode(String name, int zone, InetSocketAddress address, Kind kind, Timeline loop,
+            TownNetwork process, TownRecord record, MemberRegister register,
             SplittableRandom random) {
         this.name = name;
         this.zone = zone;
@@ -117,7 +117,7 @@
     }
 
     /** Comes up as if it had run for long, with these keys kept, the most wanted first. */
-    void startWarm(int keys) {
+    public void startWarm(int keys) {
         for (int i = Math.min(keys, kind.keys) - 1; i >= 0; i--) {
             memory.put(Clients.key(i), (long) (random.nextDouble() * kind.ttlUs));
         }
@@ -125,7 +125,7 @@
     }
 
     /** Comes up with nothing kept and short of its speed. */
-    void startCold() {
+    public void startCold() {
         memory.clear();
         listen(loop.nowUs(), kind.coldFrom);
     }
@@ -139,27 +139,27 @@
         record.add(loop.nowUs(), Event.Kind.UP, name, "", speed * from + " " + speed + " " + kind.coldUs);
     }
 
-    boolean up() {
+    public boolean up() {
         return listener != null;
     }
 
-    boolean drains() {
+    public boolean drains() {
         return draining;
     }
 
     /** Microseconds on the town's clock; 0 for long ago. */
-    long startedUs() {
+    public long startedUs() {
         return Math.max(0, startedUs);
     }
 
     /** Finishes what it has and turns the rest away. */
-    void drain() {
+    public void drain() {
         draining = true;
         record.add(loop.nowUs(), Event.Kind.FAULT, name, "", "drain");
     }
 
     /** The process is over, one way or another: connections are reset, what ran is gone. */
-    void end(String how) {
+    public void end(String how) {
         if (listener == null) {
             return;
         }
@@ -176,14 +176,14 @@
     }
 
     /** Runs so many times slower from now on. */
-    void slow(double times) {
+    public void slow(double times) {
         record.add(loop.nowUs(), Event.Kind.FAULT, name, "", "slow " + times);
         progress();
         slowness = times;
         planNext();
     }
 
-    void drop(String key) {
+    public void drop(String key) {
         memory.remove(key);
     }
 
@@ -310,7 +310,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
-            proxy = MemoryNetwork.peer(channel);
+            proxy = process.peer(channel);
             connections.add(channel);
         }
 
--- a/src/main/java/holdproxy/lab/Clients.java
+++ b/src/main/java/holdproxy/town/Clients.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import holdproxy.net.Transport;
 import io.netty.buffer.ByteBuf;
@@ -26,19 +26,19 @@
  * was wanted before. Each try is asked on a connection that is free, or a new one, of the proxy that
  * the front picks; a client waits for 50 to 80% of its class's give-up time and tries again after a pause.
  */
-final class Clients {
+public final class Clients {
     private static final int CONNECT_MS = 1000;
     private static final double LEAST_WAIT = 0.5;
     private static final double MOST_WAIT = 0.8;
     private static final double LEAST_PAUSE_MS = 20;
     private static final double MOST_PAUSE_MS = 160;
 
-    private final VirtualLoop loop;
+    private final Timeline loop;
     /** By zone. */
-    private final List<MemoryNetwork.Process> networks;
+    private final List<? extends Transport> networks;
     private final TownRecord record;
     private final SplittableRandom random;
-    private final Scenario.Load load;
+    private final Load load;
     private final List<String> tenants;
     private final Front front;
     private final double[] keyShares;
@@ -52,8 +52,8 @@
     private long untilUs;
     private long wants;
 
-    Clients(VirtualLoop loop, List<MemoryNetwork.Process> networks, TownRecord record,
-            SplittableRandom random, Scenario.Load load, List<String> tenants, Front front, int proxies) {
+    public Clients(Timeline loop, List<? extends Transport> networks, TownRecord record,
+            SplittableRandom random, Load load, List<String> tenants, Front front, int proxies) {
         this.loop = loop;
         this.networks = networks;
         this.record = record;
@@ -76,28 +76,28 @@
     }
 
     /** The n-th most wanted key. */
-    static String key(int n) {
+    public static String key(int n) {
         return Integer.toHexString(0xa000 + n);
     }
 
     /** Asks from now on until this time, in microseconds. */
-    void ask(long until) {
+    public void ask(long until) {
         untilUs = until;
         next();
     }
 
     /** A club asks so many times as often from now on. */
-    void surge(int club, double factor) {
+    public void surge(int club, double factor) {
         times[club] = factor;
     }
 
     /** This part of all reads is for one key from now on. */
-    void hot(double part) {
+    public void hot(double part) {
         hot = part;
     }
 
     /** A proxy's network, watched at its door: which tries has the proxy read? */
-    Transport atDoor(String proxy, Transport inner) {
+    public Transport atDoor(String proxy, Transport inner) {
         return new Transport() {
             @Override
             public ChannelFuture connect(InetSocketAddress address, int timeoutMs,
--- a/src/main/java/holdproxy/lab/DiscoveryService.java
+++ b/src/main/java/holdproxy/town/DiscoveryService.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -25,13 +25,13 @@
 import java.util.function.Predicate;
 
 /** The platform's list of nodes over HTTP: one call after another, and watches that are told of changes. */
-final class DiscoveryService {
+public final class DiscoveryService {
     private static final long BEAT_US = 2_000_000;
 
     private record Change(long version, String node, String entry, String state, long startedMs) {
     }
 
-    private final VirtualLoop loop;
+    private final Timeline loop;
     private final TownRecord record;
     private final long callUs;
     private final Predicate<String> unheard;
@@ -39,25 +39,27 @@
     /** Watches and the proxy behind each. */
     private final Map<Channel, String> watches = new LinkedHashMap<>();
     private final Map<String, Change> latest = new LinkedHashMap<>();
+    private TownNetwork network;
     private long version;
     private long freeAtUs;
     private boolean down;
 
     /** Each call takes {@code callUs}; {@code unheard}: whether a proxy is not reached by what it is told. */
-    DiscoveryService(VirtualLoop loop, TownRecord record, long callUs, Predicate<String> unheard) {
+    public DiscoveryService(Timeline loop, TownRecord record, long callUs, Predicate<String> unheard) {
         this.unheard = unheard;
         this.loop = loop;
         this.record = record;
         this.callUs = callUs;
     }
 
-    void start(MemoryNetwork.Process network, InetSocketAddress address) {
+    public void start(TownNetwork network, InetSocketAddress address) {
+        this.network = network;
         network.listen(address, () -> new ChannelHandler[] {new HttpServerCodec(), new Call()});
         beat();
     }
 
     /** Down, it answers 503, and its watches have ended. */
-    void down(boolean isDown) {
+    public void down(boolean isDown) {
         record.add(loop.nowUs(), Event.Kind.FAULT, "discovery", "", isDown ? "down" : "up");
         down = isDown;
         if (isDown) {
@@ -67,7 +69,8 @@
     }
 
     /** A node's state is from now on: SERVING, DRAINING or DELETED. */
-    void set(String node, InetSocketAddress address, String zone, String kind, String state, long startedMs) {
+    public void set(String node, InetSocketAddress address, String zone, String kind, String state,
+            long startedMs) {
         String entry = "{\"id\":\"" + node + "\",\"addr\":\"" + text(address) + "\",\"zone\":\"" + zone
             + "\",\"kind\":\"" + kind + "\",\"cell\":0,\"state\":\"" + state
             + "\",\"weight\":1.0,\"started_ms\":" + startedMs + "}";
@@ -85,7 +88,7 @@
     }
 
     /** The whole list as it is now, told to a proxy that starts with it. */
-    String whole(String proxy) {
+    public String whole(String proxy) {
         latest.values().forEach(c -> told(proxy, c));
         return list(true, List.copyOf(latest.values()));
     }
@@ -102,7 +105,7 @@
         record.add(loop.nowUs(), Event.Kind.TOLD, proxy, change.node, change.state + " " + change.startedMs);
     }
 
-    static String text(InetSocketAddress address) {
+    public static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
@@ -136,7 +139,7 @@
             DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             ch.writeAndFlush(head);
-            String proxy = MemoryNetwork.peer(ch);
+            String proxy = network.peer(ch);
             long since = asked.containsKey("index") ? Long.parseLong(asked.get("index").get(0)) : 0;
             List<Change> missed = changes.stream().filter(c -> c.version > since).toList();
             chunk(ch, list(false, missed));
--- a/src/main/java/holdproxy/lab/Event.java
+++ b/src/main/java/holdproxy/town/Event.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 /**
  * One line of the town's own record, which auditors read.
@@ -9,8 +9,8 @@
  * @param id the request's id where it is about one, else empty
  * @param detail what else there is to it, by kind
  */
-record Event(long us, Kind kind, String where, String id, String detail) {
-    enum Kind {
+public record Event(long us, Kind kind, String where, String id, String detail) {
+    public enum Kind {
         /** Somebody wants something; where: the club, id: what its tries' ids begin with, detail: class. */
         WANTED,
         /** A client wrote a request's last byte; detail: class, key of a write or -, and wait in ms. */
@@ -50,7 +50,7 @@
     }
 
     /** A word of the detail, the first being 0; without splitting all of it, for auditors read millions. */
-    String word(int i) {
+    public String word(int i) {
         int from = 0;
         for (int left = i; left > 0; left--) {
             from = detail.indexOf(' ', from) + 1;
@@ -60,7 +60,7 @@
     }
 
     /** Of the id of a try: what is common to all tries of its want, which is all but the last digit. */
-    String want() {
+    public String want() {
         return id.substring(0, id.length() - 1);
     }
 
--- a/src/main/java/holdproxy/lab/Front.java
+++ b/src/main/java/holdproxy/town/Front.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -8,29 +8,29 @@
 import java.util.stream.IntStream;
 
 /** The plain layer before the proxies: spreads connections over those it believes up, and learns late. */
-final class Front {
+public final class Front {
     private final List<InetSocketAddress> doors = new ArrayList<>();
     private final List<Boolean> used = new ArrayList<>();
     private final List<Integer> zones = new ArrayList<>();
 
     /** One more proxy, not used yet; returns its number. */
-    int door(InetSocketAddress address, int zone) {
+    public int door(InetSocketAddress address, int zone) {
         doors.add(address);
         zones.add(zone);
         used.add(false);
         return doors.size() - 1;
     }
 
-    InetSocketAddress address(int proxy) {
+    public InetSocketAddress address(int proxy) {
         return doors.get(proxy);
     }
 
-    void use(int proxy, boolean use) {
+    public void use(int proxy, boolean use) {
         used.set(proxy, use);
     }
 
     /** A proxy by chance among those in use in this zone; else in any; among all where none is in use. */
-    int pick(SplittableRandom random, int zone) {
+    public int pick(SplittableRandom random, int zone) {
         int near = count(i -> used.get(i) && zones.get(i) == zone);
         int up = count(used::get);
         if (up == 0) {
--- a/src/main/java/holdproxy/lab/MemberRegister.java
+++ b/src/main/java/holdproxy/town/MemberRegister.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,13 +8,13 @@
 import java.util.function.Consumer;
 
 /** The slow origin behind all nodes: so many at once, the others wait in line; a write voids kept copies. */
-final class MemberRegister {
+public final class MemberRegister {
     private static final String NAME = "register";
 
     private record Work(String id, String key, String writeKey, String group, Consumer<String> done) {
     }
 
-    private final VirtualLoop loop;
+    private final Timeline loop;
     private final TownRecord record;
     private final int most;
     private final long workUs;
@@ -33,7 +33,7 @@
      * {@code most} at once, each of {@code workUs}; a keyed write's repeat within {@code dropRepeatsUs}
      * of its coming to a node is dropped, at whichever node and however late it gets round to it.
      */
-    MemberRegister(VirtualLoop loop, TownRecord record, int most, long workUs, long dropRepeatsUs) {
+    public MemberRegister(Timeline loop, TownRecord record, int most, long workUs, long dropRepeatsUs) {
         this.loop = loop;
         this.record = record;
         this.most = most;
@@ -41,16 +41,16 @@
         this.dropRepeatsUs = dropRepeatsUs;
     }
 
-    void knows(CacheNode node) {
+    public void knows(CacheNode node) {
         nodes.add(node);
     }
 
-    void fetch(String id, String key, Consumer<String> done) {
+    public void fetch(String id, String key, Consumer<String> done) {
         take(new Work(id, key, null, null, done));
     }
 
     /** A keyed write has come to a node; returns what it and its repeats are known by. */
-    String came(String writeKey) {
+    public String came(String writeKey) {
         long first = firstUs.getOrDefault(writeKey, Long.MIN_VALUE / 2);
         if (loop.nowUs() - first > dropRepeatsUs) {
             first = loop.nowUs();
@@ -62,12 +62,12 @@
     /**
      * {@code writeKey}: the client's idempotency key; {@code group}: of a write whose repeats are dropped.
      */
-    void write(String id, String key, String writeKey, String group, Consumer<String> done) {
+    public void write(String id, String key, String writeKey, String group, Consumer<String> done) {
         take(new Work(id, key, writeKey, group, done));
     }
 
     /** The most that came in any one second, over what can be done in one. */
-    double peakLoad() {
+    public double peakLoad() {
         double perS = most * 1e6 / workUs;
         return came.stream().mapToInt(n -> n).max().orElse(0) / perS;
     }
--- a/src/main/java/holdproxy/lab/MetaLines.java
+++ b/src/main/java/holdproxy/town/MetaLines.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,18 +10,18 @@
  * Lines of the meta protocol (PROTOCOL-pebbletide.md) with the block that belongs to one. Written for
  * the town alone: it shares nothing with the proxy's decoder, whose faults it is to show.
  */
-final class MetaLines extends ByteToMessageDecoder {
+public final class MetaLines extends ByteToMessageDecoder {
     /** How a refusal begins. */
-    static final String BUSY = "SERVER_ERROR busy";
+    public static final String BUSY = "SERVER_ERROR busy";
     private static final int LONGEST = 70_000;
 
     /** Whether an answer that begins so has a value or a receipt. */
-    static boolean served(String answer) {
+    public static boolean served(String answer) {
         return answer.startsWith("VA ") || answer.startsWith("HD ");
     }
 
     /** A line without its end, and its block, null where it has none. */
-    static final class Message {
+    public static final class Message {
         private final String line;
         private final String block;
         private final String[] tokens;
--- a/src/main/java/holdproxy/lab/Service.java
+++ b/src/main/java/holdproxy/town/Service.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,15 +9,15 @@
 import org.HdrHistogram.Histogram;
 
 /** How a town's clients were served, from its record. */
-final class Service {
+public final class Service {
     /** What came to be in one second of the town; a want counts in the second in which it began. */
-    static final class Second {
-        long wanted;
-        double worthWanted;
-        double worthInTime;
-        long refused;
-        long failed;
-        long attempts;
+    public static final class Second {
+        public long wanted;
+        public double worthWanted;
+        public double worthInTime;
+        public long refused;
+        public long failed;
+        public long attempts;
     }
 
     private record Want(long us, RequestClass type, Second second, Second byClass) {
@@ -31,7 +31,7 @@
     private final Histogram servedMs = new Histogram(LONGEST_MS, 2);
     private final Second all = new Second();
 
-    Service(List<Event> events) {
+    public Service(List<Event> events) {
         RequestClass.ALL.forEach(c -> classes.put(c.name(), new Second()));
         Map<String, Want> open = new HashMap<>();
         for (Event e : events) {
@@ -89,29 +89,29 @@
     }
 
     /** Worth answered in its wanted time over the worth asked for; 1 where nothing was. */
-    static double share(Second s) {
+    public static double share(Second s) {
         return s.worthWanted == 0 ? 1 : s.worthInTime / s.worthWanted;
     }
 
-    Second all() {
+    public Second all() {
         return all;
     }
 
-    List<Second> seconds() {
+    public List<Second> seconds() {
         return seconds;
     }
 
-    double share() {
+    public double share() {
         return share(all);
     }
 
     /** Wants served at all, in time or late. */
-    long served() {
+    public long served() {
         return servedMs.getTotalCount();
     }
 
     /** The least share of any 10 seconds in which something was wanted. */
-    double worstTenSeconds() {
+    public double worstTenSeconds() {
         double worst = share();
         for (int from = 0; from + 10 <= seconds.size(); from++) {
             Second ten = new Second();
@@ -125,13 +125,13 @@
     }
 
     /** Commands at the busiest node over the mean of all that got any. */
-    double spread() {
+    public double spread() {
         double most = sentTo.values().stream().mapToLong(n -> n).max().orElse(0);
         return most == 0 ? 1 : most * sentTo.size() / all.attempts;
     }
 
     /** In the order in which a report has them. */
-    Map<String, Object> figures() {
+    public Map<String, Object> figures() {
         Map<String, Object> f = new LinkedHashMap<>();
         f.put("in_time", share());
         f.put("worst_10_s", worstTenSeconds());
--- a/src/main/java/holdproxy/lab/TownRecord.java
+++ b/src/main/java/holdproxy/town/TownRecord.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -9,19 +9,19 @@
 import java.util.List;
 
 /** All that happened in a town, in its order. */
-final class TownRecord {
+public final class TownRecord {
     private final List<Event> events = new ArrayList<>();
 
-    void add(long us, Event.Kind kind, String where, String id, String detail) {
+    public void add(long us, Event.Kind kind, String where, String id, String detail) {
         events.add(new Event(us, kind, where, id, detail));
     }
 
-    List<Event> events() {
+    public List<Event> events() {
         return Collections.unmodifiableList(events);
     }
 
     /** The same for two runs that went the same way, event by event. */
-    String hash() {
+    public String hash() {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             for (Event e : events) {
--- a/src/main/java/holdproxy/lab/ZoneReport.java
+++ b/src/main/java/holdproxy/town/ZoneReport.java
@@ -1,4 +1,4 @@
-package holdproxy.lab;
+package holdproxy.town;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,7 +15,7 @@
  * silent how long proxies went on sending into it. Also the peak of what cold nodes were sent over what they
  * can stand, which a zone that returns shows.
  */
-final class ZoneReport {
+public final class ZoneReport {
     /** Sent this multiple of what it can do within this time, a cold node falls over. */
     private static final double TIP = 4;
     private static final long TIP_US = 2_000_000;
@@ -70,7 +70,7 @@
     private final List<Loss> losses = new ArrayList<>();
     private double coldPeak;
 
-    ZoneReport(List<Event> events) {
+    public ZoneReport(List<Event> events) {
         Map<String, String> zoneOf = new HashMap<>();
         Map<String, Long> wantedAt = new HashMap<>();
         Map<String, RequestClass> types = new HashMap<>();
@@ -126,7 +126,7 @@
     }
 
     /** In the order in which a report has them. */
-    Map<String, Object> figures() {
+    public Map<String, Object> figures() {
         Map<String, Object> f = new LinkedHashMap<>();
         if (zones.size() > 1) {
             zones.forEach((zone, s) -> f.put("in_time_zone_" + zone, Service.share(s)));
--- a/src/test/java/holdproxy/lab/AuditorsTest.java
+++ b/src/test/java/holdproxy/lab/AuditorsTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.net.Transport;
+import holdproxy.town.Auditors;
+import holdproxy.town.Event;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/test/java/holdproxy/lab/ZonesTest.java
+++ b/src/test/java/holdproxy/lab/ZonesTest.java
@@ -6,6 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.input.BadInput;
+import holdproxy.town.Auditors;
+import holdproxy.town.Event;
+import holdproxy.town.Front;
+import holdproxy.town.Service;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
