--- /dev/null
+++ b/src/main/java/holdproxy/council/Council.java
@@ -0,0 +1,495 @@
+package holdproxy.council;
+
+import holdproxy.input.BadInput;
+import io.microraft.MembershipChangeMode;
+import io.microraft.Ordered;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.RaftRole;
+import io.microraft.lifecycle.RaftNodeLifecycleAware;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.report.RaftNodeReport;
+import io.microraft.report.RaftNodeReportListener;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * A process's part in the council. A voter keeps the log; everybody else asks the voters. Time, chance, links
+ * and the disk are handed in; all calls are on the host's one thread.
+ *
+ * <p>An operation that was asked for may have been agreed though its answer did not come, and is then asked
+ * for again: operations have to bear that.
+ */
+public final class Council {
+    private static final String GROUP = "council";
+    /** What a leader begins its term with; no ledger has an operation like it. */
+    private static final String NEW_TERM = "a new term";
+    private static final int ELECTION_MS = 1_000;
+    private static final int HEARTBEAT_S = 1;
+    private static final int SILENCE_S = 5;
+    private static final int SNAPSHOT_AFTER = 1_000;
+    private static final int MOST_PENDING = 1_000;
+    private static final int MOST_ASKED = 1_000;
+    /** One voter is waited for so long before the next is asked. */
+    private static final long ASK_US = 300_000;
+    private static final long ADMIT_US = 500_000;
+    /** Four times as long as a leader may be silent, seen so often in turn. */
+    private static final long STUCK_US = 4_000_000;
+    private static final int STUCK_LOOKS = 3;
+    private static final long LOOK_US = 500_000;
+
+    /** What the process around it offers. */
+    public interface Host {
+        /** Monotonic, in microseconds. */
+        long nowUs();
+
+        /** Runs a task so many microseconds later, on the one thread. */
+        void after(long us, Runnable task);
+
+        /** Sends a frame to a process, or drops it. */
+        void send(String name, byte[] frame);
+
+        /** This process leads the council now, or no longer. */
+        void leads(boolean now);
+
+        /** This process is out of the vote: why. It goes on asking. */
+        void out(String why);
+    }
+
+    private record Asked(Object operation, long endUs, CompletableFuture<Object> answer, String to) {
+    }
+
+    private final String name;
+    private final List<String> voters;
+    private final Host host;
+    private final Random random;
+    private final Ledger ledger;
+    private final Pace pace;
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private RaftNode node;
+    private Seat seat;
+    private long asks;
+    private String leader = "";
+    private int nextVoter;
+    private boolean leading;
+    private boolean failed;
+    private boolean ended;
+    /** Of the node in use: what an earlier one still reports is nothing any more. */
+    private Machine machine;
+    private long heardLeaderUs;
+
+    /**
+     * {@code voters}: names of those that may be asked, this process among them or not.
+     */
+    public Council(String name, List<String> voters, Host host, Random random, Ledger ledger) {
+        this.name = name;
+        this.voters = List.copyOf(voters);
+        this.host = host;
+        this.random = random;
+        this.ledger = ledger;
+        pace = new Pace(host);
+        nextVoter = random.nextInt(Math.max(1, voters.size()));
+        // not from 0: an answer to an earlier life of this name may still be under way
+        asks = random.nextLong() >>> 2;
+    }
+
+    /**
+     * Founds a council: writes what a first voter begins with. Once in the life of a fleet, on each of the
+     * first voters' empty disks, by operators; a {@link BadInput} says that there is one already.
+     */
+    public static void found(Disk disk, String name, Collection<String> voters) throws IOException {
+        RaftDisk kept = RaftDisk.open(disk);
+        if (kept.seat() != null) {
+            throw new BadInput("there is a council's disk already, of " + kept.seat());
+        }
+        Set<RaftEndpoint> seats = new LinkedHashSet<>();
+        voters.forEach(v -> seats.add(new Seat(v, 0)));
+        if (!voters.contains(name)) {
+            throw new BadInput(name + " is not one of the first voters, " + voters);
+        }
+        kept.persistAndFlushLocalEndpoint(RaftCodec.MODELS.createRaftEndpointPersistentStateBuilder()
+            .setLocalEndpoint(new Seat(name, 0)).setVoting(true).build());
+        kept.persistAndFlushInitialGroupMembers(RaftCodec.MODELS.createRaftGroupMembersViewBuilder()
+            .setLogIndex(0).setMembers(seats).setVotingMembers(seats).build());
+        kept.persistAndFlushTerm(RaftCodec.MODELS.createRaftTermPersistentStateBuilder().setTerm(0)
+            .setVotedFor(null).build());
+    }
+
+    /**
+     * Takes up its vote, where it is one of the voters. An empty disk makes it a new one, which asks to be
+     * admitted in place of what it was; a damaged one leaves it out of the vote.
+     */
+    public void begin(Disk disk) {
+        if (voters.contains(name)) {
+            open(disk);
+            watch(disk, 0);
+        }
+    }
+
+    /**
+     * MicroRaft's follower can come to wait for good for a leader that is gone: when a late message of that
+     * leader's arrives while it asks others whether to stand for election. Begun again from its disk, as
+     * after a crash, it is free of that.
+     */
+    private void watch(Disk disk, int before) {
+        if (ended || !votes()) {
+            return;
+        }
+        boolean waits = node.getTerm().getLeaderEndpoint() != null && !leading
+            && host.nowUs() - heardLeaderUs > STUCK_US;
+        int times = waits ? before + 1 : 0;
+        if (times == STUCK_LOOKS) {
+            machine = null;
+            node.terminate();
+            ledger.clear();
+            heardLeaderUs = host.nowUs();
+            open(disk);
+            times = 0;
+        }
+        int now = times;
+        host.after(LOOK_US, () -> watch(disk, now));
+    }
+
+    private void open(Disk disk) {
+        try {
+            RaftDisk kept = RaftDisk.open(disk);
+            kept.onFailure(this::diskFailed);
+            boolean isNew = kept.seat() == null;
+            seat = isNew ? new Seat(name, random.nextLong() >>> 1 | 1) : kept.seat();
+            machine = new Machine();
+            RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(config())
+                .setExecutor(pace).setClock(pace).setRandom(random).setTransport(new Outward())
+                .setStateMachine(machine).setStore(kept).setRaftNodeReportListener(new Heard(machine));
+            if (isNew) {
+                Set<RaftEndpoint> first = new LinkedHashSet<>();
+                voters.forEach(v -> first.add(new Seat(v, 0)));
+                builder.setLocalEndpoint(seat).setInitialGroupMembers(first);
+            } else {
+                builder.setRestoredState(kept.restored());
+            }
+            node = builder.build();
+            node.start();
+            if (isNew) {
+                askToBeAdmitted();
+            }
+        } catch (IOException | BadInput e) {
+            node = null;
+            host.out(e.getMessage());
+        }
+    }
+
+    /** At once: what could not be kept must not be said either. */
+    private void diskFailed() {
+        failed = true;
+        lead(false);
+        host.out("the disk has failed");
+        host.after(0, () -> node.terminate());
+    }
+
+    private static RaftConfig config() {
+        return RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(ELECTION_MS)
+            .setLeaderHeartbeatPeriodSecs(HEARTBEAT_S).setLeaderHeartbeatTimeoutSecs(SILENCE_S)
+            .setCommitCountToTakeSnapshot(SNAPSHOT_AFTER).setMaxPendingLogEntryCount(MOST_PENDING)
+            .setTransferSnapshotsFromFollowersEnabled(false).build();
+    }
+
+    /** Whether this process leads, as far as it knows. */
+    public boolean leads() {
+        return leading;
+    }
+
+    /** Who leads, as far as it knows; empty: nobody. */
+    public String leader() {
+        return leader;
+    }
+
+    /** Whether it takes part in votes. */
+    public boolean votes() {
+        return node != null && !failed && !RaftNodeStatus.isTerminal(node.getStatus());
+    }
+
+    /** The seat that it votes with; null where it has none. */
+    public Seat seat() {
+        return seat;
+    }
+
+    /** Who votes, by what this process knows to be agreed; empty where it does not vote. */
+    public Set<Seat> seats() {
+        Set<Seat> seats = new LinkedHashSet<>();
+        if (votes()) {
+            node.getCommittedMembers().getVotingMembers().forEach(m -> seats.add((Seat) m));
+        }
+        return seats;
+    }
+
+    /** Gives leadership, if it has it, to another, and its vote up for this life; completes then. */
+    public CompletableFuture<Void> end() {
+        ended = true;
+        if (!votes()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        Optional<RaftEndpoint> other = node.getCommittedMembers().getVotingMembers().stream()
+            .filter(m -> !m.equals(seat)).findFirst();
+        if (leading && other.isPresent()) {
+            node.transferLeadership(other.get()).whenComplete((done, why) -> stop(over));
+        } else {
+            stop(over);
+        }
+        return over;
+    }
+
+    private void stop(CompletableFuture<Void> over) {
+        node.terminate().whenComplete((done, why) -> over.complete(null));
+    }
+
+    // ---- asking ----
+
+    /**
+     * Has an operation agreed on, by way of whoever leads; completes with the ledger's answer, or
+     * exceptionally when it did not come within {@code withinUs}. It may be agreed on all the same, and more
+     * than once.
+     */
+    public CompletableFuture<Object> propose(Object operation, long withinUs) {
+        CompletableFuture<Object> answer = new CompletableFuture<>();
+        if (asked.size() >= MOST_ASKED) {
+            answer.completeExceptionally(new IOException("too much is asked at once"));
+            return answer;
+        }
+        ask(operation, host.nowUs() + withinUs, answer);
+        return answer;
+    }
+
+    private void ask(Object operation, long endUs, CompletableFuture<Object> answer) {
+        if (answer.isDone()) {
+            return;
+        }
+        if (host.nowUs() >= endUs) {
+            answer.completeExceptionally(new IOException("the council has not answered in time"));
+            return;
+        }
+        if (leading) {
+            boolean[] over = {false};
+            replicate(operation, (value, why) -> {
+                if (why == null) {
+                    answer.complete(value);
+                } else if (!over[0]) {
+                    over[0] = true;
+                    host.after(ASK_US / 4, () -> ask(operation, endUs, answer));
+                }
+            });
+            // a leader without a majority never hears of it
+            host.after(Math.min(ASK_US * 4, endUs - host.nowUs()), () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    ask(operation, endUs, answer);
+                }
+            });
+            return;
+        }
+        List<String> others = voters.stream().filter(v -> !v.equals(name)).toList();
+        if (others.isEmpty()) {
+            host.after(ASK_US, () -> ask(operation, endUs, answer));
+            return;
+        }
+        String to = others.contains(leader) ? leader : others.get(Math.floorMod(nextVoter++, others.size()));
+        long number = ++asks;
+        asked.put(number, new Asked(operation, endUs, answer, to));
+        host.send(to, RaftCodec.bytes(Arrays.asList("ask", name, number, operation)));
+        host.after(Math.min(ASK_US, endUs - host.nowUs()), () -> {
+            Asked mine = asked.remove(number);
+            if (mine != null) {
+                leader = leader.equals(mine.to) ? "" : leader;
+                ask(operation, endUs, answer);
+            }
+        });
+    }
+
+    private interface Result {
+        void of(Object value, Throwable failed);
+    }
+
+    private void replicate(Object operation, Result result) {
+        CompletableFuture<Ordered<Object>> agreed = node.replicate(operation);
+        agreed.whenComplete((ordered, why) ->
+            host.after(0, () -> result.of(why == null ? ordered.getResult() : null, why)));
+    }
+
+    // ---- frames ----
+
+    /** A frame of another process's has come; a {@link BadInput} says that it is none. */
+    public void received(byte[] frame) {
+        RaftCodec.Parts p = RaftCodec.parts(frame);
+        switch (p.text()) {
+            case "raft" -> raft(p.text(), p.value());
+            case "ask" -> asks(p.text(), p.number(), p.value());
+            case "answer" -> answered(p.number(), p.flag(), p.value(), p.text());
+            case "admit" -> admit(p.seat());
+            default -> throw new BadInput("a frame for the council is of no known kind");
+        }
+    }
+
+    private void raft(String to, Object message) {
+        // of an earlier disk's votes and promises this process knows nothing
+        if (votes() && seat.toString().equals(to)) {
+            RaftMessage read = RaftCodec.message(message, GROUP);
+            if (read.getSender().equals(node.getTerm().getLeaderEndpoint())) {
+                heardLeaderUs = host.nowUs();
+            }
+            node.handle(read);
+        }
+    }
+
+    private void asks(String who, long number, Object operation) {
+        if (!leading || ended) {
+            host.send(who, RaftCodec.bytes(Arrays.asList("answer", number, false, null, leader)));
+            return;
+        }
+        replicate(operation, (value, why) -> host.send(who, RaftCodec.bytes(
+            Arrays.asList("answer", number, why == null, value, why == null ? name : leader))));
+    }
+
+    private void answered(long number, boolean done, Object value, String whoLeads) {
+        Asked mine = asked.remove(number);
+        if (mine == null) {
+            return; // too late: it was asked for again
+        }
+        leader = whoLeads;
+        if (done) {
+            mine.answer.complete(value);
+        } else {
+            // nobody may lead for a moment: not at once again
+            host.after(whoLeads.isEmpty() || whoLeads.equals(mine.to) ? ASK_US / 4 : 0,
+                () -> ask(mine.operation, mine.endUs, mine.answer));
+        }
+    }
+
+    // ---- members ----
+
+    private void askToBeAdmitted() {
+        if (ended || !votes() || node.getCommittedMembers().getVotingMembers().contains(seat)) {
+            return;
+        }
+        for (String voter : voters) {
+            if (!voter.equals(name)) {
+                host.send(voter, RaftCodec.bytes(Arrays.asList("admit", seat.toString())));
+            }
+        }
+        host.after(ADMIT_US, this::askToBeAdmitted);
+    }
+
+    /** A step at a time: out with what this name was before, in with what it is, first without a vote. */
+    private void admit(Seat newcomer) {
+        if (!leading || ended || newcomer == null || !voters.contains(newcomer.name())) {
+            return;
+        }
+        var members = node.getEffectiveMembers();
+        if (members.getLogIndex() != node.getCommittedMembers().getLogIndex()) {
+            return; // a change is under way; it asks again
+        }
+        Optional<RaftEndpoint> before = members.getMembers().stream().map(Seat.class::cast)
+            .filter(s -> s.name().equals(newcomer.name()) && !s.equals(newcomer))
+            .map(RaftEndpoint.class::cast).findFirst();
+        if (before.isPresent()) {
+            change(before.get(), MembershipChangeMode.REMOVE_MEMBER, members.getLogIndex());
+        } else if (!members.getMembers().contains(newcomer)) {
+            change(newcomer, MembershipChangeMode.ADD_LEARNER, members.getLogIndex());
+        } else if (!members.getVotingMembers().contains(newcomer)) {
+            change(newcomer, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, members.getLogIndex());
+        }
+    }
+
+    private void change(RaftEndpoint who, MembershipChangeMode mode, long index) {
+        node.changeMembership(who, mode, index); // where it fails the newcomer asks again
+    }
+
+    // ---- what MicroRaft is given ----
+
+    private final class Outward implements Transport {
+        @Override
+        public void send(RaftEndpoint to, RaftMessage message) {
+            if (failed) {
+                return;
+            }
+            host.send(((Seat) to).name(), RaftCodec.bytes(
+                Arrays.asList("raft", to.toString(), RaftCodec.message(message))));
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint to) {
+            return true; // whoever it is: what is sent may arrive
+        }
+    }
+
+    private final class Machine implements StateMachine, RaftNodeLifecycleAware {
+        @Override
+        public Object runOperation(long index, Object operation) {
+            return NEW_TERM.equals(operation) ? null : ledger.apply(index, operation);
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> parts) {
+            ledger.snapshot().forEach(parts);
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> parts) {
+            ledger.restore(new ArrayList<>(parts));
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            // without an entry of its own term a leader can commit nothing of the terms before
+            return NEW_TERM;
+        }
+
+        @Override
+        public void onRaftNodeTerminate() {
+            if (!ended && !failed && machine == this) {
+                lead(false);
+                host.out("another has been let in in its place");
+            }
+        }
+    }
+
+    private final class Heard implements RaftNodeReportListener {
+        private final Machine of;
+
+        Heard(Machine of) {
+            this.of = of;
+        }
+
+        @Override
+        public void accept(RaftNodeReport report) {
+            if (machine != of) {
+                return;
+            }
+            RaftEndpoint now = report.getTerm().getLeaderEndpoint();
+            leader = now == null || failed ? "" : ((Seat) now).name();
+            lead(!failed && Objects.equals(now, seat) && report.getRole() == RaftRole.LEADER);
+        }
+    }
+
+    private void lead(boolean now) {
+        if (leading != now) {
+            leading = now;
+            host.leads(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/council/FileDisk.java
@@ -0,0 +1,70 @@
+package holdproxy.council;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+
+/** A file of the operating system's. */
+public final class FileDisk implements Disk, AutoCloseable {
+    private final Path file;
+    private FileChannel channel;
+
+    /** {@code file}: of this voter alone; its folder is there. */
+    public FileDisk(Path file) {
+        this.file = file;
+    }
+
+    @Override
+    public byte[] read() throws IOException {
+        return Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
+    }
+
+    @Override
+    public void append(byte[] bytes) throws IOException {
+        if (channel == null) {
+            channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        }
+        write(channel, bytes);
+    }
+
+    @Override
+    public void force() throws IOException {
+        if (channel != null) {
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public void replace(byte[] bytes) throws IOException {
+        Path fresh = file.resolveSibling(file.getFileName() + ".new");
+        try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            write(out, bytes);
+            out.force(true);
+        }
+        close();
+        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent())) {
+            folder.force(true); // the name as well
+        }
+    }
+
+    private static void write(FileChannel to, byte[] bytes) throws IOException {
+        ByteBuffer left = ByteBuffer.wrap(bytes);
+        while (left.hasRemaining()) {
+            to.write(left);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/council/Ledger.java
@@ -0,0 +1,21 @@
+package holdproxy.council;
+
+import java.util.List;
+
+/**
+ * What the log's operations make, the same in every voter. Operations, answers and parts of a snapshot are
+ * plain values: texts, whole numbers, truths, null, and lists of them. Called on the council's thread.
+ */
+public interface Ledger {
+    /** Applies an operation that is agreed; {@code index} grows. Its answer goes to who proposed it. */
+    Object apply(long index, Object operation);
+
+    /** Becomes empty: it is made again from the beginning. */
+    void clear();
+
+    /** All of it, in parts of less than a quarter of a frame each. */
+    List<Object> snapshot();
+
+    /** Becomes what these parts say. */
+    void restore(List<Object> parts);
+}
--- /dev/null
+++ b/src/main/java/holdproxy/council/RaftCodec.java
@@ -0,0 +1,325 @@
+package holdproxy.council;
+
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.jr.ob.JSON;
+import holdproxy.input.BadInput;
+import io.microraft.MembershipChangeMode;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.RaftModelFactory;
+import io.microraft.model.groupop.UpdateRaftGroupMembersOp;
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.message.AppendEntriesFailureResponse;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.InstallSnapshotResponse;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.PreVoteResponse;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.TriggerLeaderElectionRequest;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.model.message.VoteResponse;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+
+/**
+ * What MicroRaft sends and keeps, as CBOR: lists of plain values. Operations are plain values themselves, or
+ * a change of members. Whatever is not in this form is a {@link BadInput}.
+ */
+final class RaftCodec {
+    static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
+    private static final JSON CBOR = JSON.builder(new CBORFactory()).build();
+    private static final String MEMBERS = "members";
+    private static final String VALUE = "value";
+
+    private RaftCodec() {
+    }
+
+    /** Reads a list part by part. */
+    static final class Parts {
+        private final List<?> parts;
+        private int next;
+
+        Parts(Object value) {
+            if (!(value instanceof List<?> list)) {
+                throw new BadInput("there is no list where one belongs");
+            }
+            parts = list;
+        }
+
+        Object value() {
+            if (next >= parts.size()) {
+                throw new BadInput("a list is too short");
+            }
+            return parts.get(next++);
+        }
+
+        String text() {
+            if (value() instanceof String text) {
+                return text;
+            }
+            throw new BadInput("part " + next + " of a list is no text");
+        }
+
+        long number() {
+            Object value = value();
+            if (value instanceof Integer || value instanceof Long) {
+                return ((Number) value).longValue();
+            }
+            throw new BadInput("part " + next + " of a list is no number");
+        }
+
+        int whole() {
+            long number = number();
+            if (number != (int) number) {
+                throw new BadInput("part " + next + " of a list is too large: " + number);
+            }
+            return (int) number;
+        }
+
+        boolean flag() {
+            if (value() instanceof Boolean flag) {
+                return flag;
+            }
+            throw new BadInput("part " + next + " of a list is neither true nor false");
+        }
+
+        Seat seat() {
+            String text = text();
+            try {
+                return text.isEmpty() ? null : Seat.read(text);
+            } catch (IndexOutOfBoundsException | NumberFormatException e) {
+                throw new BadInput("part " + next + " of a list is no seat");
+            }
+        }
+
+        Collection<RaftEndpoint> seats() {
+            Collection<RaftEndpoint> seats = new LinkedHashSet<>();
+            Parts inner = new Parts(value());
+            while (inner.more()) {
+                seats.add(inner.seat());
+            }
+            return seats;
+        }
+
+        boolean more() {
+            return next < parts.size();
+        }
+    }
+
+    static byte[] bytes(Object value) {
+        try {
+            return CBOR.asBytes(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException("a value cannot be written", e);
+        }
+    }
+
+    static Object value(byte[] bytes) {
+        try {
+            return CBOR.anyFrom(bytes);
+        } catch (IOException e) {
+            throw new BadInput("these bytes are no CBOR: " + e.getClass().getSimpleName());
+        }
+    }
+
+    static Parts parts(byte[] bytes) {
+        return new Parts(value(bytes));
+    }
+
+    private static String text(RaftEndpoint seat) {
+        return seat == null ? "" : seat.toString();
+    }
+
+    private static List<Object> texts(Collection<RaftEndpoint> seats) {
+        List<Object> texts = new ArrayList<>();
+        seats.forEach(s -> texts.add(text(s)));
+        return texts;
+    }
+
+    private static List<Object> list(Object... parts) {
+        return Arrays.asList(parts);
+    }
+
+    // ---- messages ----
+
+    static List<Object> message(RaftMessage m) {
+        List<Object> parts = new ArrayList<>(list(null, text(m.getSender()), m.getTerm()));
+        parts.set(0, add(m, parts));
+        return parts;
+    }
+
+    private static String add(RaftMessage m, List<Object> to) {
+        if (m instanceof AppendEntriesRequest a) {
+            List<Object> entries = new ArrayList<>();
+            a.getLogEntries().forEach(e -> entries.add(entry(e)));
+            to.addAll(list(a.getPreviousLogTerm(), a.getPreviousLogIndex(), a.getCommitIndex(), entries,
+                a.getQuerySequenceNumber(), a.getFlowControlSequenceNumber()));
+            return "append";
+        }
+        if (m instanceof AppendEntriesSuccessResponse a) {
+            to.addAll(list(a.getLastLogIndex(), a.getQuerySequenceNumber(),
+                a.getFlowControlSequenceNumber()));
+            return "appended";
+        }
+        if (m instanceof AppendEntriesFailureResponse a) {
+            to.addAll(list(a.getExpectedNextIndex(), a.getQuerySequenceNumber(),
+                a.getFlowControlSequenceNumber()));
+            return "not-appended";
+        }
+        if (m instanceof PreVoteRequest v) {
+            to.addAll(list(v.getLastLogTerm(), v.getLastLogIndex()));
+            return "pre-vote";
+        }
+        if (m instanceof PreVoteResponse v) {
+            to.add(v.isGranted());
+            return "pre-voted";
+        }
+        if (m instanceof VoteRequest v) {
+            to.addAll(list(v.getLastLogTerm(), v.getLastLogIndex(), v.isSticky()));
+            return "vote";
+        }
+        if (m instanceof VoteResponse v) {
+            to.add(v.isGranted());
+            return "voted";
+        }
+        if (m instanceof TriggerLeaderElectionRequest t) {
+            to.addAll(list(t.getLastLogTerm(), t.getLastLogIndex()));
+            return "stand";
+        }
+        if (m instanceof InstallSnapshotRequest s) {
+            to.addAll(list(s.isSenderLeader(), s.getSnapshotTerm(), s.getSnapshotIndex(),
+                s.getTotalSnapshotChunkCount(),
+                s.getSnapshotChunk() == null ? null : chunk(s.getSnapshotChunk()),
+                texts(s.getSnapshottedMembers()),
+                s.getGroupMembersView() == null ? null : members(s.getGroupMembersView()),
+                s.getQuerySequenceNumber(), s.getFlowControlSequenceNumber()));
+            return "snapshot";
+        }
+        InstallSnapshotResponse s = (InstallSnapshotResponse) m;
+        to.addAll(list(s.getSnapshotIndex(), s.getRequestedSnapshotChunkIndex(), s.getQuerySequenceNumber(),
+            s.getFlowControlSequenceNumber()));
+        return "snapshot-part";
+    }
+
+    static RaftMessage message(Object value, Object group) {
+        Parts p = new Parts(value);
+        String kind = p.text();
+        Seat sender = p.seat();
+        int term = p.whole();
+        return switch (kind) {
+            case "append" -> MODELS.createAppendEntriesRequestBuilder().setGroupId(group).setSender(sender)
+                .setTerm(term).setPreviousLogTerm(p.whole()).setPreviousLogIndex(p.number())
+                .setCommitIndex(p.number()).setLogEntries(entries(p.value()))
+                .setQuerySequenceNumber(p.number()).setFlowControlSequenceNumber(p.number()).build();
+            case "appended" -> MODELS.createAppendEntriesSuccessResponseBuilder().setGroupId(group)
+                .setSender(sender).setTerm(term).setLastLogIndex(p.number())
+                .setQuerySequenceNumber(p.number()).setFlowControlSequenceNumber(p.number()).build();
+            case "not-appended" -> MODELS.createAppendEntriesFailureResponseBuilder().setGroupId(group)
+                .setSender(sender).setTerm(term).setExpectedNextIndex(p.number())
+                .setQuerySequenceNumber(p.number()).setFlowControlSequenceNumber(p.number()).build();
+            case "pre-vote" -> MODELS.createPreVoteRequestBuilder().setGroupId(group).setSender(sender)
+                .setTerm(term).setLastLogTerm(p.whole()).setLastLogIndex(p.number()).build();
+            case "pre-voted" -> MODELS.createPreVoteResponseBuilder().setGroupId(group).setSender(sender)
+                .setTerm(term).setGranted(p.flag()).build();
+            case "vote" -> MODELS.createVoteRequestBuilder().setGroupId(group).setSender(sender).setTerm(term)
+                .setLastLogTerm(p.whole()).setLastLogIndex(p.number()).setSticky(p.flag()).build();
+            case "voted" -> MODELS.createVoteResponseBuilder().setGroupId(group).setSender(sender)
+                .setTerm(term).setGranted(p.flag()).build();
+            case "stand" -> MODELS.createTriggerLeaderElectionRequestBuilder().setGroupId(group)
+                .setSender(sender).setTerm(term).setLastLogTerm(p.whole()).setLastLogIndex(p.number())
+                .build();
+            case "snapshot" -> MODELS.createInstallSnapshotRequestBuilder().setGroupId(group)
+                .setSender(sender).setTerm(term).setSenderLeader(p.flag()).setSnapshotTerm(p.whole())
+                .setSnapshotIndex(p.number()).setTotalSnapshotChunkCount(p.whole())
+                .setSnapshotChunk(chunk(p.value())).setSnapshottedMembers(p.seats())
+                .setGroupMembersView(members(p.value())).setQuerySequenceNumber(p.number())
+                .setFlowControlSequenceNumber(p.number()).build();
+            case "snapshot-part" -> MODELS.createInstallSnapshotResponseBuilder().setGroupId(group)
+                .setSender(sender).setTerm(term).setSnapshotIndex(p.number())
+                .setRequestedSnapshotChunkIndex(p.whole()).setQuerySequenceNumber(p.number())
+                .setFlowControlSequenceNumber(p.number()).build();
+            default -> throw new BadInput("a message is of no known kind");
+        };
+    }
+
+    // ---- what is kept ----
+
+    static List<Object> entry(LogEntry e) {
+        return list(e.getIndex(), e.getTerm(), written(e.getOperation()));
+    }
+
+    static LogEntry entry(Object value) {
+        Parts p = new Parts(value);
+        return MODELS.createLogEntryBuilder().setIndex(p.number()).setTerm(p.whole())
+            .setOperation(operation(p.value())).build();
+    }
+
+    private static List<LogEntry> entries(Object value) {
+        List<LogEntry> entries = new ArrayList<>();
+        Parts p = new Parts(value);
+        while (p.more()) {
+            entries.add(entry(p.value()));
+        }
+        return entries;
+    }
+
+    static List<Object> chunk(SnapshotChunk c) {
+        return list(c.getIndex(), c.getTerm(), c.getOperation(), c.getSnapshotChunkIndex(),
+            c.getSnapshotChunkCount(), members(c.getGroupMembersView()));
+    }
+
+    static SnapshotChunk chunk(Object value) {
+        if (value == null) {
+            return null;
+        }
+        Parts p = new Parts(value);
+        return MODELS.createSnapshotChunkBuilder().setIndex(p.number()).setTerm(p.whole())
+            .setOperation(p.value()).setSnapshotChunkIndex(p.whole()).setSnapshotChunkCount(p.whole())
+            .setGroupMembersView(members(p.value())).build();
+    }
+
+    static List<Object> members(RaftGroupMembersView view) {
+        return list(view.getLogIndex(), texts(view.getMembers()), texts(view.getVotingMembers()));
+    }
+
+    static RaftGroupMembersView members(Object value) {
+        if (value == null) {
+            return null;
+        }
+        Parts p = new Parts(value);
+        return MODELS.createRaftGroupMembersViewBuilder().setLogIndex(p.number()).setMembers(p.seats())
+            .setVotingMembers(p.seats()).build();
+    }
+
+    private static List<Object> written(Object operation) {
+        if (operation instanceof UpdateRaftGroupMembersOp change) {
+            return list(MEMBERS, texts(change.getMembers()), texts(change.getVotingMembers()),
+                text(change.getEndpoint()), change.getMode().name());
+        }
+        return list(VALUE, operation);
+    }
+
+    private static Object operation(Object value) {
+        Parts p = new Parts(value);
+        if (!p.text().equals(MEMBERS)) {
+            return p.value();
+        }
+        Collection<RaftEndpoint> members = p.seats();
+        Collection<RaftEndpoint> voting = p.seats();
+        Seat seat = p.seat();
+        String mode = p.text();
+        return MODELS.createUpdateRaftGroupMembersOpBuilder().setMembers(members).setVotingMembers(voting)
+            .setEndpoint(seat).setMode(Arrays.stream(MembershipChangeMode.values())
+                .filter(m -> m.name().equals(mode)).findFirst()
+                .orElseThrow(() -> new BadInput("a change of members is of no known kind"))).build();
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/council/RaftDisk.java
@@ -0,0 +1,322 @@
+package holdproxy.council;
+
+import holdproxy.input.BadInput;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.CRC32C;
+
+/**
+ * What a voter must not forget, as records at the end of one file, each with its checksums. Opened again it
+ * holds what was made safe, or a {@link BadInput} says where the file is damaged: then the voter is out of
+ * the vote, for it can no longer tell what it has promised. A record at the end that is cut short was never
+ * safe, and goes.
+ *
+ * <p>After a failure nothing more is written, and the voter is to be ended: MicroRaft itself would go on with
+ * what it has in memory. Of snapshots the last is kept, of
+ * entries those after it; the file is written anew when four fifths of it are out of date.
+ */
+final class RaftDisk implements RaftStore {
+    private static final short MAGIC = 0x5231;
+    private static final int HEAD = 14;
+    private static final int LARGEST = 64 << 20;
+    /** Below so many bytes the file is left as it is. */
+    private static final int SMALL = 1 << 20;
+
+    private final Disk disk;
+    private Runnable onFailure = () -> { };
+    private Seat seat;
+    private boolean voting = true;
+    private List<Object> initialMembers;
+    private int term;
+    private Seat votedFor;
+    /** Entries and parts of snapshots in the form in which they are written, by index. */
+    private final TreeMap<Long, byte[]> entries = new TreeMap<>();
+    private final TreeMap<Long, TreeMap<Integer, byte[]>> chunks = new TreeMap<>();
+    private long fileBytes;
+    private long liveBytes;
+    private IOException failure;
+
+    private RaftDisk(Disk disk) {
+        this.disk = disk;
+    }
+
+    /** Reads what there is; a {@link BadInput} says where it is damaged. */
+    static RaftDisk open(Disk disk) throws IOException {
+        RaftDisk opened = new RaftDisk(disk);
+        byte[] bytes = disk.read();
+        int end = opened.take(bytes);
+        if (end < bytes.length) {
+            disk.replace(Arrays.copyOf(bytes, end));
+        }
+        opened.fileBytes = end;
+        return opened;
+    }
+
+    /** Run once, when writing has failed: from then on the voter must not vote. */
+    void onFailure(Runnable action) {
+        onFailure = action;
+    }
+
+    /** Whose it is; null where it has never been written. */
+    Seat seat() {
+        return seat;
+    }
+
+    /** For {@link io.microraft.RaftNode}; to be called only where there is a seat. */
+    RestoredRaftState restored() {
+        SnapshotEntry snapshot = snapshot();
+        List<LogEntry> after = new ArrayList<>();
+        entries.tailMap(snapshot == null ? 0 : snapshot.getIndex(), false).values()
+            .forEach(e -> after.add(RaftCodec.entry(body(e))));
+        return new RestoredRaftState(
+            RaftCodec.MODELS.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(seat)
+                .setVoting(voting).build(),
+            RaftCodec.members(initialMembers),
+            RaftCodec.MODELS.createRaftTermPersistentStateBuilder().setTerm(term).setVotedFor(votedFor)
+                .build(),
+            snapshot, after);
+    }
+
+    private SnapshotEntry snapshot() {
+        for (long index : chunks.descendingKeySet()) {
+            List<SnapshotChunk> parts = new ArrayList<>();
+            chunks.get(index).values().forEach(c -> parts.add(RaftCodec.chunk(body(c))));
+            if (parts.size() == parts.get(0).getSnapshotChunkCount()) {
+                return RaftCodec.MODELS.createSnapshotEntryBuilder().setIndex(index)
+                    .setTerm(parts.get(0).getTerm()).setSnapshotChunks(parts)
+                    .setGroupMembersView(parts.get(0).getGroupMembersView()).build();
+            }
+        }
+        return null;
+    }
+
+    // ---- records ----
+
+    private static byte[] framed(Object... parts) {
+        byte[] body = RaftCodec.bytes(Arrays.asList(parts));
+        ByteBuffer record = ByteBuffer.allocate(HEAD + body.length);
+        record.putShort(MAGIC).putInt(body.length);
+        record.putInt(crc(record.array(), 0, record.position())).putInt(crc(body, 0, body.length)).put(body);
+        return record.array();
+    }
+
+    private static int crc(byte[] bytes, int from, int length) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, from, length);
+        return (int) crc.getValue();
+    }
+
+    /** Of a record that holds one thing: that. */
+    private static Object body(byte[] record) {
+        RaftCodec.Parts parts = RaftCodec.parts(Arrays.copyOfRange(record, HEAD, record.length));
+        parts.text();
+        return parts.value();
+    }
+
+    /** Takes all whole records; returns where the last of them ends. */
+    private int take(byte[] file) {
+        int at = 0;
+        while (at < file.length) {
+            if (file.length - at < HEAD || allZero(file, at)) {
+                return at; // cut short, or room that was never written to
+            }
+            ByteBuffer head = ByteBuffer.wrap(file, at, HEAD);
+            boolean sound = head.getShort() == MAGIC;
+            int length = head.getInt();
+            if (!sound || head.getInt() != crc(file, at, 6) || length < 1 || length > LARGEST) {
+                throw damaged(at);
+            }
+            if (file.length - at - HEAD < length) {
+                return at;
+            }
+            if (head.getInt() != crc(file, at + HEAD, length)) {
+                throw damaged(at);
+            }
+            byte[] record = Arrays.copyOfRange(file, at, at + HEAD + length);
+            try {
+                apply(record);
+            } catch (BadInput e) {
+                throw new BadInput("the record at byte " + at + " cannot be read: " + e.getMessage());
+            }
+            at += record.length;
+        }
+        return at;
+    }
+
+    private static boolean allZero(byte[] file, int from) {
+        for (int i = from; i < file.length; i++) {
+            if (file[i] != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static BadInput damaged(int at) {
+        return new BadInput("the record at byte " + at + " is damaged: its checksum does not hold");
+    }
+
+    private void apply(byte[] record) {
+        RaftCodec.Parts p = RaftCodec.parts(Arrays.copyOfRange(record, HEAD, record.length));
+        switch (p.text()) {
+            case "seat" -> {
+                seat = p.seat();
+                voting = p.flag();
+            }
+            case "members" -> initialMembers = plain(p.value());
+            case "term" -> {
+                term = p.whole();
+                votedFor = p.seat();
+            }
+            case "entry" -> put(entries, new RaftCodec.Parts(p.value()).number(), record);
+            case "chunk" -> {
+                SnapshotChunk chunk = RaftCodec.chunk(p.value());
+                put(chunks.computeIfAbsent(chunk.getIndex(), i -> new TreeMap<>()),
+                    chunk.getSnapshotChunkIndex(), record);
+            }
+            case "cut-from" -> cut(entries.tailMap(p.number(), true));
+            case "cut-until" -> cut(entries.headMap(p.number(), true));
+            case "cut-chunks" -> {
+                TreeMap<Integer, byte[]> gone = chunks.remove(p.number());
+                if (gone != null) {
+                    cut(gone);
+                }
+            }
+            default -> throw new BadInput("it is of no known kind");
+        }
+    }
+
+    @SuppressWarnings("unchecked") // the reader makes no other lists than these
+    private static List<Object> plain(Object list) {
+        return (List<Object>) list;
+    }
+
+    private <K> void put(Map<K, byte[]> into, K key, byte[] record) {
+        byte[] before = into.put(key, record);
+        liveBytes += record.length - (before == null ? 0 : before.length);
+    }
+
+    private void cut(Map<?, byte[]> gone) {
+        gone.values().forEach(r -> liveBytes -= r.length);
+        gone.clear();
+    }
+
+    // ---- what MicroRaft has kept ----
+
+    private interface Write {
+        void run() throws IOException;
+    }
+
+    private void guarded(Write write) throws IOException {
+        if (failure != null) {
+            throw new IOException("nothing is written after a failure", failure);
+        }
+        try {
+            write.run();
+        } catch (IOException e) {
+            failure = e;
+            onFailure.run();
+            throw e;
+        }
+    }
+
+    private void record(Object... parts) throws IOException {
+        guarded(() -> {
+            byte[] record = framed(parts);
+            if (record.length > LARGEST) {
+                throw new IOException("a record of " + record.length + " bytes is too long");
+            }
+            disk.append(record);
+            fileBytes += record.length;
+            apply(record);
+        });
+    }
+
+    private void recordSafely(Object... parts) throws IOException {
+        record(parts);
+        flush();
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState state) throws IOException {
+        recordSafely("seat", state.getLocalEndpoint().toString(), state.isVoting());
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+        recordSafely("members", RaftCodec.members(members));
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState state) throws IOException {
+        RaftEndpoint voted = state.getVotedFor();
+        recordSafely("term", state.getTerm(), voted == null ? "" : voted.toString());
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> added) throws IOException {
+        for (LogEntry entry : added) {
+            record("entry", RaftCodec.entry(entry));
+        }
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+        record("chunk", RaftCodec.chunk(chunk));
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        record("cut-from", index);
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        record("cut-until", index);
+        if (fileBytes > SMALL && fileBytes > 5 * liveBytes) {
+            guarded(this::writeAnew);
+        }
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        record("cut-chunks", index);
+    }
+
+    @Override
+    public void flush() throws IOException {
+        guarded(disk::force);
+    }
+
+    private void writeAnew() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(framed("seat", seat.toString(), voting));
+        out.write(framed("members", initialMembers));
+        out.write(framed("term", term, votedFor == null ? "" : votedFor.toString()));
+        for (TreeMap<Integer, byte[]> parts : chunks.values()) {
+            for (byte[] part : parts.values()) {
+                out.write(part);
+            }
+        }
+        for (byte[] entry : entries.values()) {
+            out.write(entry);
+        }
+        disk.replace(out.toByteArray());
+        fileBytes = out.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/duties/DutyTable.java
@@ -0,0 +1,188 @@
+package holdproxy.duties;
+
+import holdproxy.council.Ledger;
+import holdproxy.input.BadInput;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Who holds which duty: what the council agrees on, the same in every voter. No clock is read here: a lease
+ * ends when somebody who has waited for long enough proposes so, and it has not been renewed meanwhile.
+ *
+ * <p>Asking and releasing name the token that was seen, so that an operation which arrives late, or twice,
+ * changes nothing.
+ */
+public final class DutyTable implements Ledger {
+    /** Duties at most; names are the program's own and operators'. */
+    public static final int MOST_DUTIES = 1_000;
+
+    /** What an operation came to. */
+    public enum Word {
+        /** The asker holds it: token, renewals. */
+        HELD,
+        /** Somebody else does: token, holder. */
+        TAKEN,
+        /** Nobody does, and it was last under another token than the asker had seen: token. */
+        FREE,
+        /** It was held under this token, and no longer is. */
+        ENDED,
+        /** What was to end had ended already, or was renewed. */
+        UNCHANGED
+    }
+
+    private final Map<String, Lease> held = new TreeMap<>();
+    /** The last token of each duty that was ever held. */
+    private final Map<String, Long> last = new TreeMap<>();
+    private long tokens;
+    private Consumer<String> changed = duty -> { };
+    private BiConsumer<String, String> refused = (duty, name) -> { };
+
+    /** {@code listener} hears of each duty that is granted, renewed or ended, in the order of the log. */
+    public void onChange(Consumer<String> listener) {
+        changed = listener;
+    }
+
+    /** {@code listener} hears who asked for a duty, named first, that somebody else has. */
+    public void onRefused(BiConsumer<String, String> listener) {
+        refused = listener;
+    }
+
+    /** Null: nobody has it. */
+    public Lease lease(String duty) {
+        return held.get(duty);
+    }
+
+    /** All that are held. */
+    public List<Lease> leases() {
+        return List.copyOf(held.values());
+    }
+
+    /** The token under which a duty was last held; 0: it never was. */
+    public long lastToken(String duty) {
+        return last.getOrDefault(duty, 0L);
+    }
+
+    // ---- operations ----
+
+    static List<Object> ask(String duty, String name, long life, int ms, long seen) {
+        return Arrays.asList("ask", duty, name, life, ms, seen);
+    }
+
+    static List<Object> renew(String duty, long token) {
+        return Arrays.asList("renew", duty, token);
+    }
+
+    static List<Object> release(String duty, long token) {
+        return Arrays.asList("release", duty, token);
+    }
+
+    static List<Object> expire(Lease lease) {
+        return Arrays.asList("expire", lease.duty(), lease.token(), lease.renewals());
+    }
+
+    @Override
+    public Object apply(long index, Object operation) {
+        List<?> op = (List<?>) operation;
+        String duty = (String) op.get(1);
+        return switch ((String) op.get(0)) {
+            case "ask" -> asked(duty, (String) op.get(2), number(op, 3), (int) number(op, 4), number(op, 5));
+            case "renew" -> renewed(duty, number(op, 2));
+            case "release" -> ended(duty, number(op, 2), -1);
+            case "expire" -> ended(duty, number(op, 2), number(op, 3));
+            default -> throw new BadInput("no operation on duties is called " + op.get(0));
+        };
+    }
+
+    private static long number(List<?> op, int i) {
+        return ((Number) op.get(i)).longValue();
+    }
+
+    private static List<Object> answer(Word word, Object... parts) {
+        List<Object> answer = new ArrayList<>();
+        answer.add(word.name());
+        answer.addAll(Arrays.asList(parts));
+        return answer;
+    }
+
+    private List<Object> asked(String duty, String name, long life, int ms, long seen) {
+        Lease lease = held.get(duty);
+        if (lease != null) {
+            boolean own = lease.holder().equals(name) && lease.life() == life;
+            if (own) {
+                // who asks again counts from then, and so do the voters
+                return renewed(duty, lease.token());
+            }
+            refused.accept(duty, name);
+            return answer(Word.TAKEN, lease.token(), lease.holder());
+        }
+        if (lastToken(duty) != seen || last.size() >= MOST_DUTIES && !last.containsKey(duty)) {
+            return answer(Word.FREE, lastToken(duty));
+        }
+        tokens++;
+        held.put(duty, new Lease(duty, tokens, name, life, ms, 0));
+        last.put(duty, tokens);
+        changed.accept(duty);
+        return answer(Word.HELD, tokens, 0L);
+    }
+
+    private List<Object> renewed(String duty, long token) {
+        Lease lease = held.get(duty);
+        if (lease == null || lease.token() != token) {
+            return answer(Word.ENDED);
+        }
+        held.put(duty, lease.renewed());
+        changed.accept(duty);
+        return answer(Word.HELD, token, lease.renewals() + 1);
+    }
+
+    private List<Object> ended(String duty, long token, long renewals) {
+        Lease lease = held.get(duty);
+        if (lease == null || lease.token() != token || renewals >= 0 && lease.renewals() != renewals) {
+            return answer(Word.UNCHANGED);
+        }
+        held.remove(duty);
+        changed.accept(duty);
+        return answer(Word.ENDED);
+    }
+
+    // ---- snapshots ----
+
+    @Override
+    public void clear() {
+        held.clear();
+        last.clear();
+        tokens = 0;
+    }
+
+    @Override
+    public List<Object> snapshot() {
+        List<Object> leases = new ArrayList<>();
+        held.values().forEach(l -> leases.add(
+            Arrays.asList(l.duty(), l.token(), l.holder(), l.life(), l.ms(), l.renewals())));
+        List<Object> lasts = new ArrayList<>();
+        last.forEach((duty, token) -> lasts.add(Arrays.asList(duty, token)));
+        return List.of(Arrays.asList(tokens, leases, lasts));
+    }
+
+    @Override
+    public void restore(List<Object> parts) {
+        List<?> all = (List<?>) parts.get(0);
+        clear();
+        tokens = number(all, 0);
+        for (Object each : (List<?>) all.get(1)) {
+            List<?> l = (List<?>) each;
+            held.put((String) l.get(0), new Lease((String) l.get(0), number(l, 1), (String) l.get(2),
+                number(l, 3), (int) number(l, 4), number(l, 5)));
+        }
+        for (Object each : (List<?>) all.get(2)) {
+            List<?> pair = (List<?>) each;
+            last.put((String) pair.get(0), number(pair, 1));
+        }
+        last.keySet().forEach(changed);
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/CouncilFleet.java
@@ -0,0 +1,361 @@
+package holdproxy.lab;
+
+import holdproxy.council.Council;
+import holdproxy.council.Ledger;
+import holdproxy.council.Seat;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Processes around a council in virtual time, each with its disk, its clock and its links, and the faults
+ * that meet them. What the processes do with the council is for who makes the fleet.
+ */
+final class CouncilFleet {
+    private static final long LEAST_DELAY_US = 200;
+    private static final long MOST_DELAY_US = 4_000;
+    private static final long FORCE_US = 500;
+    private static final int MOST_FAULTS = 7;
+    private static final long LOOK_US = 100_000;
+
+    /** What a life is for. */
+    interface Purpose {
+        /** The ledger of a life that begins. */
+        Ledger ledger(Life life);
+
+        /** Its council has begun. */
+        void begun(Life life);
+
+        /** It is told to end; {@code then} is to be run when it may. */
+        void ending(Life life, Runnable then);
+
+        /** It leads from now on, or no longer. */
+        void leads(Life life, boolean now);
+    }
+
+    /** One life of a process. */
+    final class Life implements Council.Host {
+        final String name;
+        final long number;
+        final MemoryDisk disk;
+        final Council council;
+        final Ledger ledger;
+        final double rate;
+        boolean over;
+        boolean isOut;
+        /** It stands still until then, in true time. */
+        long wakesUs;
+
+        private Life(String name, MemoryDisk disk) {
+            this.name = name;
+            this.disk = disk;
+            number = ++lifeNumbers;
+            rate = rates.get(name);
+            ledger = purpose.ledger(this);
+            council = new Council(name, voters, this, new Random(random.nextLong()), ledger);
+        }
+
+        /** By its own clock. */
+        @Override
+        public long nowUs() {
+            return (long) (time.nowUs() * rate);
+        }
+
+        /** In true time, when its clock shows this. */
+        long trueUs(long ownUs) {
+            return (long) (ownUs / rate);
+        }
+
+        /** By its own clock. */
+        @Override
+        public void after(long us, Runnable task) {
+            time.after((long) Math.ceil(us / rate), () -> run(task));
+        }
+
+        /** Now, or once it goes on where it stands still; not at all where it is over. */
+        void run(Runnable task) {
+            if (over) {
+                return;
+            }
+            if (time.nowUs() < wakesUs) {
+                time.after(wakesUs - time.nowUs(), () -> run(task));
+            } else {
+                task.run();
+            }
+        }
+
+        @Override
+        public void send(String to, byte[] frame) {
+            reach(to, life -> life.council.received(frame));
+        }
+
+        /** Has a process do something when a message of this one's arrives, if it does. */
+        void reach(String to, Consumer<Life> what) {
+            if (links.cut(name, to)) {
+                return;
+            }
+            time.after(delayUs(name, to), () -> {
+                Life target = lives.get(to);
+                if (target != null) {
+                    target.run(() -> what.accept(target));
+                }
+            });
+        }
+
+        @Override
+        public void leads(boolean now) {
+            if (now) {
+                leaders.add(name);
+            }
+            purpose.leads(this, now);
+        }
+
+        @Override
+        public void out(String why) {
+            isOut = true;
+        }
+    }
+
+    final TrialTime time = new TrialTime();
+    final Random random;
+    final TrialLinks links = new TrialLinks();
+    final List<String> names = new ArrayList<>();
+    final List<String> voters;
+    final Map<String, Life> lives = new TreeMap<>();
+    final List<String> broken = new ArrayList<>();
+    final Set<String> kinds = new TreeSet<>();
+    private final Map<String, Double> rates = new TreeMap<>();
+    private final Purpose purpose;
+    private final boolean forgetfulDisks;
+    private final boolean lostDisksKeepVotes;
+    private final List<String> leaders = new ArrayList<>();
+    private long disksLostUntilUs;
+    private long lifeNumbers;
+
+    /**
+     * So many voters and others; {@code clockBound}: how far the rates of their clocks are from the true one;
+     * the faults of disks are the program's own, planted for a judge to find.
+     */
+    CouncilFleet(long seed, int votes, int others, double clockBound, Purpose purpose, boolean forgetfulDisks,
+            boolean lostDisksKeepVotes) {
+        random = new Random(seed * 0x9e3779b97f4a7c15L);
+        this.purpose = purpose;
+        this.forgetfulDisks = forgetfulDisks;
+        this.lostDisksKeepVotes = lostDisksKeepVotes;
+        for (int i = 0; i < votes + others; i++) {
+            names.add("proxy-" + i);
+            rates.put("proxy-" + i, 1 + (random.nextDouble() * 2 - 1) * clockBound);
+        }
+        voters = List.copyOf(names.subList(0, votes));
+    }
+
+    /** Starts all, causes faults until half of the time, and runs to its end. */
+    void play(double seconds) {
+        long endUs = (long) (seconds * 1e6);
+        for (String name : names) {
+            MemoryDisk disk = disk();
+            if (voters.contains(name)) {
+                found(disk, name);
+            }
+            start(name, disk);
+        }
+        for (int i = 1 + random.nextInt(MOST_FAULTS); i > 0; i--) {
+            time.after((long) (random.nextDouble(2, seconds * 0.4) * 1e6), () -> fault(endUs / 2));
+        }
+        time.run(endUs);
+    }
+
+    long delayUs(String from, String to) {
+        return LEAST_DELAY_US + FORCE_US
+            + (long) (random.nextDouble() * (MOST_DELAY_US + links.slowUs(from, to)));
+    }
+
+    private MemoryDisk disk() {
+        return new MemoryDisk(new Random(random.nextLong()), forgetfulDisks);
+    }
+
+    private void found(MemoryDisk disk, String name) {
+        try {
+            Council.found(disk, name, voters);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void start(String name, MemoryDisk disk) {
+        Life life = new Life(name, disk);
+        lives.put(name, life);
+        life.council.begin(disk);
+        purpose.begun(life);
+    }
+
+    // ---- faults ----
+
+    /** Operators give a damaged voter a new disk, as soon as they find it running. */
+    private void replace(String name) {
+        if (lives.get(name).over) {
+            time.after(LOOK_US, () -> replace(name));
+        } else {
+            kill("disk replaced", name, 0, disk());
+        }
+    }
+
+    private void fault(long endUs) {
+        long forUs = Math.min(endUs - time.nowUs(), 200_000 + (long) (random.nextDouble() * 12e6));
+        String one = voters.get(random.nextInt(voters.size()));
+        // leaders are what faults are most telling of
+        if (random.nextBoolean() && !leaders.isEmpty()) {
+            one = leaders.get(leaders.size() - 1);
+        }
+        String other = names.get(random.nextInt(names.size()));
+        switch (random.nextInt(11)) {
+            case 0 -> kill("killed", one, forUs, lives.get(one).disk);
+            case 1 -> loseDisk(one, forUs);
+            case 2 -> stop(one, forUs);
+            case 3 -> part("cut off", List.of(one), forUs, true, true);
+            case 4 -> part("hears nobody", List.of(one), forUs, false, true);
+            case 5 -> part("nobody hears it", List.of(one), forUs, true, false);
+            case 6 -> split(forUs);
+            case 7 -> slow(one, other, forUs);
+            case 8 -> fullDisk(one, forUs);
+            case 9 -> restart(one, forUs);
+            default -> flip(one, forUs);
+        }
+    }
+
+    private void kill(String kind, String name, long forUs, MemoryDisk then) {
+        Life life = lives.get(name);
+        if (life.over) {
+            return;
+        }
+        kinds.add(kind);
+        life.over = true;
+        life.disk.crash();
+        time.after(forUs, () -> start(name, then));
+    }
+
+    /** Disks are lost one after another: with two of three gone at once nothing is agreed ever after. */
+    private boolean allVote() {
+        Set<Seat> seats = new LinkedHashSet<>();
+        voters.forEach(v -> seats.add(lives.get(v).council.seat()));
+        return time.nowUs() > disksLostUntilUs && voters.stream().map(lives::get).allMatch(
+            l -> !l.over && l.council.votes() && l.council.seats().equals(seats));
+    }
+
+    private void loseDisk(String name, long forUs) {
+        if (!allVote()) {
+            return;
+        }
+        disksLostUntilUs = time.nowUs() + forUs;
+        MemoryDisk fresh = disk();
+        if (lostDisksKeepVotes) {
+            found(fresh, name);
+        }
+        kill("disk lost", name, forUs, fresh);
+    }
+
+    private void stop(String name, long forUs) {
+        kinds.add("stopped");
+        Life life = lives.get(name);
+        life.wakesUs = Math.max(life.wakesUs, time.nowUs() + forUs);
+    }
+
+    private void part(String kind, List<String> some, long forUs, boolean out, boolean in) {
+        kinds.add(kind);
+        links.part(names, some, out, in, 1);
+        time.after(forUs, () -> links.part(names, some, out, in, -1));
+    }
+
+    /** Into three, so that with five voters nobody has a majority, or into two. */
+    private void split(long forUs) {
+        kinds.add("split");
+        List<String> mixed = new ArrayList<>(names);
+        Collections.shuffle(mixed, random);
+        int first = 1 + random.nextInt(Math.max(1, mixed.size() / 2));
+        List<String> a = List.copyOf(mixed.subList(0, first));
+        List<String> b = random.nextBoolean() ? List.of()
+            : List.copyOf(mixed.subList(first, Math.min(mixed.size(), first + 2)));
+        links.part(names, a, true, true, 1);
+        links.part(names, b, true, true, 1);
+        time.after(forUs, () -> {
+            links.part(names, a, true, true, -1);
+            links.part(names, b, true, true, -1);
+        });
+    }
+
+    private void slow(String one, String other, long forUs) {
+        kinds.add("slow");
+        // so slow that answers are given up; or just not, and then nothing comes any more
+        boolean justNot = random.nextBoolean();
+        double us = justNot ? random.nextDouble(2e5, 3e5) : random.nextDouble(1e5, 3e6);
+        if (justNot) {
+            time.after(forUs / 2, () -> part("cut off", List.of(other), forUs / 2, true, true));
+        }
+        links.slow(one, other, us);
+        time.after(forUs, () -> links.slow(one, other, -us));
+    }
+
+    /** The vote is given up when a write or a force fails; operators make room and start it again. */
+    private void fullDisk(String name, long forUs) {
+        Life life = lives.get(name);
+        if (life.over) {
+            return;
+        }
+        boolean full = random.nextBoolean();
+        kinds.add(full ? "disk full" : "disk not forced");
+        life.disk.full(full);
+        life.disk.unforced(!full);
+        time.after(forUs, () -> {
+            life.disk.full(false);
+            life.disk.unforced(false);
+            Life now = lives.get(name);
+            if (now.disk == life.disk && !now.over && !now.council.votes()) {
+                kill("disk mended", name, 0, life.disk);
+            }
+        });
+    }
+
+    private void restart(String name, long forUs) {
+        Life life = lives.get(name);
+        if (life.over) {
+            return;
+        }
+        kinds.add("restarted");
+        life.run(() -> purpose.ending(life, () -> life.council.end().whenComplete((done, failed) -> {
+            if (!life.over) {
+                life.over = true;
+                life.disk.crash();
+                time.after(forUs, () -> start(name, life.disk));
+            }
+        })));
+    }
+
+    /** A bit on the disk is another when it starts: it has to stay out, until it is given a new disk. */
+    private void flip(String name, long forUs) {
+        Life life = lives.get(name);
+        if (!allVote()) {
+            return;
+        }
+        disksLostUntilUs = time.nowUs() + forUs;
+        kinds.add("bit flipped");
+        life.over = true;
+        life.disk.crash();
+        life.disk.flip();
+        time.after(forUs / 2, () -> {
+            start(name, life.disk);
+            if (!lives.get(name).isOut) {
+                broken.add(name + " votes with a damaged disk");
+            }
+            time.after(forUs / 2, () -> replace(name));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/DutiesTrial.java
@@ -0,0 +1,223 @@
+package holdproxy.lab;
+
+import holdproxy.council.Ledger;
+import holdproxy.duties.Duties;
+import holdproxy.duties.DutyTable;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Duties in virtual time: every process wants every duty and acts under those it holds, at a guarded resource
+ * that looks at the tokens. Faults drawn by a seed meet disks, links and processes in the first half; clocks
+ * are wrong all the time.
+ */
+final class DutiesTrial implements CouncilFleet.Purpose {
+    private static final String RESOURCE = "resource";
+    private static final int[] LEASES_MS = {1_000, 1_000, 3_000};
+    private static final long ACT_EVERY_US = 40_000;
+    private static final int LONGEST_ACT_US = 150_000;
+    private static final int LONGEST_GAP_US = 20_000;
+    /** Without a fault a duty is free for no longer than this, in seconds. */
+    private static final double LAST_S = 6;
+
+    /**
+     * How a trial went.
+     *
+     * @param broken rules, by what shows it
+     * @param acts that were begun
+     * @param refused acts that the resource turned down for their token
+     * @param freeMs from the last act of one holder to the first of the next, in milliseconds
+     * @param kinds of faults that were caused
+     */
+    record Outcome(List<String> broken, int acts, int refused, List<Long> freeMs, Set<String> kinds) {
+    }
+
+    /** In true time; until: to when the holder's lease lasted by its own clock. */
+    private static final class Act {
+        final String duty;
+        final String name;
+        final long token;
+        final long beganUs;
+        long endedUs;
+
+        Act(String duty, String name, long token, long beganUs) {
+            this.duty = duty;
+            this.name = name;
+            this.token = token;
+            this.beganUs = beganUs;
+            endedUs = beganUs;
+        }
+    }
+
+    private final CouncilFleet fleet;
+    private final Set<Duties.Guard> guards;
+    private final boolean checksTokens;
+    private final Map<CouncilFleet.Life, Duties> duties = new HashMap<>();
+    private final List<Act> acts = new ArrayList<>();
+    /** What the resource has accepted: the highest token of each duty. */
+    private final Map<String, Long> highest = new TreeMap<>();
+    private final List<Long> freeMs = new ArrayList<>();
+    private int refused;
+
+    private DutiesTrial(long seed, int votes, int others, Set<Duties.Guard> guards, boolean checksTokens) {
+        this.guards = guards;
+        this.checksTokens = checksTokens;
+        fleet = new CouncilFleet(seed, votes, others, Duties.CLOCK_BOUND, this, false, false);
+    }
+
+    /** A trial with these guards; {@code checksTokens}: whether the resource does. */
+    static Outcome play(long seed, int votes, int others, double seconds, Set<Duties.Guard> guards,
+            boolean checksTokens) {
+        DutiesTrial trial = new DutiesTrial(seed, votes, others, guards, checksTokens);
+        trial.fleet.play(seconds);
+        trial.judge(seconds);
+        return new Outcome(trial.fleet.broken, trial.acts.size(), trial.refused, trial.freeMs,
+            trial.fleet.kinds);
+    }
+
+    @Override
+    public Ledger ledger(CouncilFleet.Life life) {
+        return new DutyTable();
+    }
+
+    @Override
+    public void begun(CouncilFleet.Life life) {
+        Duties own = new Duties(life.name, life.number, life.council, (DutyTable) life.ledger, new Held(life),
+            new Random(fleet.random.nextLong()), guards);
+        duties.put(life, own);
+        for (int i = 0; i < LEASES_MS.length; i++) {
+            own.want("duty-" + i, LEASES_MS[i]);
+            actOn(life, "duty-" + i);
+        }
+    }
+
+    @Override
+    public void ending(CouncilFleet.Life life, Runnable then) {
+        duties.get(life).handOver().whenComplete((done, failed) -> then.run());
+    }
+
+    @Override
+    public void leads(CouncilFleet.Life life, boolean now) {
+        // whoever it is
+    }
+
+    private final class Held implements Duties.Host {
+        private final CouncilFleet.Life life;
+
+        Held(CouncilFleet.Life life) {
+            this.life = life;
+        }
+
+        @Override
+        public long nowUs() {
+            return life.nowUs();
+        }
+
+        @Override
+        public void after(long us, Runnable task) {
+            life.after(us, task);
+        }
+
+        @Override
+        public void tellFree(String name, String duty, long token) {
+            if (name.equals(life.name)) {
+                life.after(0, () -> duties.get(life).toldFree(duty, token));
+            } else {
+                life.reach(name, target -> duties.get(target).toldFree(duty, token));
+            }
+        }
+
+        @Override
+        public void granted(String duty, long token) {
+            // it looks before each act
+        }
+
+        @Override
+        public void ended(String duty, long token, String why) {
+            // it looks before each act
+        }
+    }
+
+    // ---- acting ----
+
+    private void actOn(CouncilFleet.Life life, String duty) {
+        life.after(ACT_EVERY_US / 2 + fleet.random.nextInt((int) ACT_EVERY_US), () -> {
+            Duties own = duties.get(life);
+            Duties.Act act = own.begin(duty);
+            if (act != null) {
+                Act seen = new Act(duty, life.name, act.token(), fleet.time.nowUs());
+                acts.add(seen);
+                // between its look at the lease and the sending it may be stopped
+                life.after(fleet.random.nextInt(LONGEST_GAP_US), () -> send(life, seen));
+                life.after(fleet.random.nextInt(LONGEST_ACT_US), () -> {
+                    // past its lease an act is the token's to stop, not the clock's
+                    seen.endedUs = Math.max(seen.beganUs,
+                        Math.min(fleet.time.nowUs(), life.trueUs(act.untilUs())));
+                    act.close();
+                });
+            }
+            actOn(life, duty);
+        });
+    }
+
+    private void send(CouncilFleet.Life life, Act act) {
+        fleet.time.after(fleet.delayUs(life.name, RESOURCE), () -> {
+            long before = highest.getOrDefault(act.duty, 0L);
+            if (act.token < before && checksTokens) {
+                refused++;
+                return;
+            }
+            if (act.token < before) {
+                fleet.broken.add("the resource took an act of " + act.name + " under " + act.duty
+                    + " with token " + act.token + " after " + before);
+            }
+            highest.put(act.duty, Math.max(before, act.token));
+        });
+    }
+
+    // ---- judging ----
+
+    private void judge(double seconds) {
+        List<Act> byStart = new ArrayList<>(acts);
+        byStart.sort(Comparator.comparingLong((Act a) -> a.beganUs));
+        Map<String, Act> newest = new HashMap<>();
+        Map<String, Act> longest = new HashMap<>();
+        Map<String, Long> lastUs = new HashMap<>();
+        for (Act each : byStart) {
+            Act before = newest.get(each.duty);
+            if (before != null && each.token < before.token) {
+                fleet.broken.add(each.name + " began an act under " + each.duty + " with token " + each.token
+                    + " at " + each.beganUs + " us, " + before.name + " had with " + before.token + " at "
+                    + before.beganUs);
+            } else if (before == null || each.token > before.token) {
+                if (before != null) {
+                    freeMs.add((each.beganUs - lastUs.get(each.duty)) / 1000);
+                }
+                newest.put(each.duty, each);
+                Act last = longest.remove(each.duty);
+                if (last != null && last.endedUs > each.beganUs) {
+                    fleet.broken.add(last.name + " was in an act under " + each.duty + " with token "
+                        + last.token + " until " + last.endedUs + " us, and " + each.name + " began one with "
+                        + each.token + " at " + each.beganUs);
+                }
+            }
+            lastUs.put(each.duty, each.beganUs);
+            Act last = longest.get(each.duty);
+            if (last == null || each.endedUs > last.endedUs) {
+                longest.put(each.duty, each);
+            }
+        }
+        for (int i = 0; i < LEASES_MS.length; i++) {
+            String duty = "duty-" + i;
+            if (acts.stream().noneMatch(a -> a.duty.equals(duty) && a.beganUs > (seconds - LAST_S) * 1e6)) {
+                fleet.broken.add("nobody acts under " + duty + " in the last " + LAST_S + " s");
+            }
+        }
+    }
+}
--- a/src/main/java/holdproxy/lab/LabCommand.java
+++ b/src/main/java/holdproxy/lab/LabCommand.java
@@ -1,10 +1,13 @@
 package holdproxy.lab;
 
 import com.fasterxml.jackson.jr.ob.JSON;
+import holdproxy.command.Commands;
 import holdproxy.input.BadInput;
 import holdproxy.town.Auditors;
 import holdproxy.town.Service;
 import io.netty.util.ResourceLeakDetector;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -31,7 +34,8 @@
  */
 @Command(name = "lab", description = "Towns in virtual time that run the real proxy and check its rules.",
     mixinStandardHelpOptions = true, subcommands = {LabCommand.Run.class, LabCommand.Hunt.class,
-        LabCommand.Shrink.class, LabCommand.Compare.class, OverloadCommand.class, StepCommand.class})
+        LabCommand.Shrink.class, LabCommand.Compare.class, OverloadCommand.class, StepCommand.class,
+        PeersCommand.class, CouncilCommand.class, DutiesCommand.class})
 public final class LabCommand {
     private static final int SHOWN = 10;
 
@@ -42,13 +46,9 @@
     public static int run(String[] args) {
         // a proxy that the town kills leaves its buffers behind, which is no leak of the program's
         ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.DISABLED);
-        return new CommandLine(new LabCommand()).setExecutionExceptionHandler((e, line, parsed) -> {
-            if (e instanceof BadInput) {
-                System.err.println("holdproxy: " + e.getMessage());
-                return 2;
-            }
-            throw e;
-        }).execute(args);
+        System.setProperty("logback.configurationFile", "logback-lab.xml");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // the JSON lines are the daemon's
+        return Commands.run(new LabCommand(), args);
     }
 
     /** Says which rules were broken; returns the exit code for it. */
--- /dev/null
+++ b/src/main/java/holdproxy/lab/PeersTrial.java
@@ -0,0 +1,321 @@
+package holdproxy.lab;
+
+import holdproxy.peers.Change;
+import holdproxy.peers.Member;
+import holdproxy.peers.Membership;
+import holdproxy.peers.Message;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * A fleet of processes that know of each other by the rules of {@code peers}, in virtual time: faults drawn
+ * by a seed in the first half, none in the second, by the end of which all have to be of one mind.
+ */
+final class PeersTrial {
+    private static final long LEAST_DELAY_US = 200;
+    private static final long MOST_DELAY_US = 3_000;
+    private static final int MOST_FAULTS = 6;
+    private static final double FIRST_FAULT_S = 4;
+    /** Wall clocks are about here; a start takes its life's number from them. */
+    private static final long WALL_MS = 1_764_000_000_000L;
+    private static final long HOUR_MS = 3_600_000;
+    /** Whom these alone have met may know less than others, and must not hold sound ones for dead. */
+    private static final Set<String> BLINDING =
+        Set.of("stopped", "hears nobody", "nobody hears it", "cut off");
+
+    /**
+     * How a trial went.
+     *
+     * @param broken rules, by what shows it
+     * @param messages that were sent, by all together
+     * @param foundS how long each sound process took to hold one that was killed for dead, in seconds
+     * @param kinds of faults that were caused
+     */
+    record Outcome(List<String> broken, long messages, List<Double> foundS, Set<String> kinds) {
+    }
+
+    private final class Process implements Membership.Output {
+        final String name;
+        final String address;
+        final Random random;
+        Membership rules;
+        /** It stands still until then. */
+        long wakesUs;
+        /** When its timer rings. */
+        long wakingUs = Long.MAX_VALUE;
+        boolean dead;
+        boolean superseded;
+        /** Nothing has been done to it or its links. */
+        boolean sound = true;
+        final Set<String> harms = new TreeSet<>();
+
+        Process(String name, String address, long wallMs) {
+            this.name = name;
+            this.address = address;
+            random = new Random(trialRandom.nextLong());
+            rules = new Membership(Membership.Settings.USUAL, name, address, wallMs, seeds, random,
+                time.nowUs(), this, guards);
+            at.put(address, this);
+            wake();
+        }
+
+        boolean runs() {
+            return !dead && !superseded;
+        }
+
+        void wake() {
+            long dueUs = Math.max(rules.dueUs(), time.nowUs());
+            if (dueUs < wakingUs) {
+                wakingUs = dueUs;
+                time.after(dueUs - time.nowUs(), () -> run(() -> {
+                    if (dueUs == wakingUs) {
+                        wakingUs = Long.MAX_VALUE;
+                        if (rules.dueUs() <= time.nowUs()) {
+                            rules.tick(time.nowUs());
+                        }
+                        wake();
+                    }
+                }));
+            }
+        }
+
+        /** Now, or once it goes on where it stands still. */
+        void run(Runnable what) {
+            if (dead) {
+                return;
+            }
+            if (time.nowUs() < wakesUs) {
+                time.after(wakesUs - time.nowUs(), () -> run(what));
+            } else {
+                what.run();
+            }
+        }
+
+        @Override
+        public void send(String to, String toAddress, Message message) {
+            messages++;
+            Process target = at.get(toAddress);
+            if (target == null || links.cut(address, toAddress)
+                    || random.nextDouble() < links.lost(address, toAddress)) {
+                return;
+            }
+            long delay = LEAST_DELAY_US
+                + (long) (random.nextDouble() * (MOST_DELAY_US + links.slowUs(address, toAddress)));
+            time.after(delay, () -> target.run(() -> {
+                if (!target.superseded) {
+                    target.rules.received(time.nowUs(), message);
+                    target.wake();
+                }
+            }));
+        }
+
+        @Override
+        public void changed(Change change) {
+            if (change.now().state() == Member.State.SUSPECT && change.now().by().equals(name)) {
+                suspects(change.now());
+            }
+            if (change.now().state() != Member.State.DEAD || dead) {
+                return;
+            }
+            Process subject = at.get(change.now().address());
+            if (subject == null) {
+                return;
+            }
+            boolean blind = !sound && BLINDING.containsAll(harms);
+            if (subject.sound && subject.runs() && subject.rules.self().life() == change.now().life()
+                    && (sound || blind)) {
+                broken.add(name + " holds " + subject.name + ", which no fault has met, for dead at "
+                    + time.nowUs() / 1e6 + " s" + (sound ? "" : ", itself met by " + harms));
+            }
+            Long killed = killedUs.get(subject);
+            if (killed != null && sound) {
+                foundS.add((time.nowUs() - killed) / 1e6);
+            }
+        }
+
+        /** Who only stood still has nothing to hold against others. */
+        private void suspects(Member other) {
+            Process subject = at.get(other.address());
+            if (harms.equals(Set.of("stopped")) && subject != null && subject.sound) {
+                broken.add(name + ", which only stood still, suspects " + subject.name
+                    + ", which no fault has met, at " + time.nowUs() / 1e6 + " s");
+            }
+        }
+
+        @Override
+        public void superseded(Member by) {
+            superseded = true;
+        }
+    }
+
+    private final Random trialRandom;
+    private final Set<Membership.Guard> guards;
+    private final List<String> seeds = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final Map<String, Process> at = new HashMap<>();
+    private final TrialTime time = new TrialTime();
+    private final TrialLinks links = new TrialLinks();
+    private final Map<Process, Long> killedUs = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private final List<Double> foundS = new ArrayList<>();
+    private final Set<String> kinds = new TreeSet<>();
+    private long messages;
+
+    private PeersTrial(long seed, Set<Membership.Guard> guards) {
+        trialRandom = new Random(seed * 0x9e3779b97f4a7c15L);
+        this.guards = guards;
+    }
+
+    /** A trial with faults. */
+    static Outcome play(long seed, int processes, double seconds, Set<Membership.Guard> guards) {
+        PeersTrial trial = new PeersTrial(seed, guards);
+        trial.start(processes);
+        for (int i = 1 + trial.trialRandom.nextInt(MOST_FAULTS); i > 0; i--) {
+            double atS = trial.trialRandom.nextDouble(FIRST_FAULT_S, seconds * 0.4);
+            trial.time.after((long) (atS * 1e6), () -> trial.fault(seconds * 0.5));
+        }
+        trial.time.run((long) (seconds * 1e6));
+        trial.ofOneMind();
+        return trial.outcome();
+    }
+
+    /** A trial in which nothing happens. */
+    static Outcome quiet(long seed, int processes, double seconds) {
+        PeersTrial trial = new PeersTrial(seed, EnumSet.allOf(Membership.Guard.class));
+        trial.start(processes);
+        trial.time.run((long) (seconds * 1e6));
+        trial.ofOneMind();
+        return trial.outcome();
+    }
+
+    private Outcome outcome() {
+        return new Outcome(broken, messages, foundS, kinds);
+    }
+
+    private void start(int count) {
+        for (int i = 0; i < Math.min(3, count); i++) {
+            seeds.add(address(i));
+        }
+        for (int i = 0; i < count; i++) {
+            int number = i;
+            time.after(trialRandom.nextInt(1_000_000), () -> processes.add(
+                new Process("proxy-" + number, address(number), WALL_MS + time.nowUs() / 1000)));
+        }
+    }
+
+    private static String address(int number) {
+        return "10.0.0." + number + ":1";
+    }
+
+    // ---- faults ----
+
+    private Process any() {
+        List<Process> running = processes.stream().filter(Process::runs).toList();
+        return running.get(trialRandom.nextInt(running.size()));
+    }
+
+    private void fault(double endS) {
+        long leftUs = (long) (endS * 1e6) - time.nowUs();
+        long forUs = Math.min(leftUs, 200_000 + (long) (trialRandom.nextDouble() * 20e6));
+        if (processes.stream().filter(Process::runs).count() < 2) {
+            return;
+        }
+        Process one = any();
+        switch (trialRandom.nextInt(9)) {
+            case 0 -> kill(one, forUs, trialRandom.nextBoolean(), 0);
+            case 1 -> kill(one, forUs, true, HOUR_MS); // and its wall clock is set back
+            case 2 -> stop(one, forUs);
+            case 3 -> cut("hears nobody", one, forUs, false, true);
+            case 4 -> cut("nobody hears it", one, forUs, true, false);
+            case 5 -> cut("cut off", one, forUs, true, true);
+            case 6 -> meet("lossy", one, forUs, trialRandom.nextDouble(0.1, 0.5), links::lose);
+            case 7 -> meet("slow", one, forUs, trialRandom.nextDouble(1e5, 2e6), links::slow);
+            default -> namesake(one);
+        }
+    }
+
+    private void kill(Process one, long forUs, boolean again, long setBackMs) {
+        one.dead = true;
+        harm(one, !again ? "killed" : setBackMs > 0 ? "killed, back with an earlier clock" : "killed, back");
+        killedUs.put(one, time.nowUs());
+        if (again) {
+            time.after(forUs, () -> {
+                Process back = new Process(one.name, one.address, WALL_MS + time.nowUs() / 1000 - setBackMs);
+                back.sound = false;
+                back.harms.add("new");
+                processes.add(back);
+            });
+        }
+    }
+
+    private void stop(Process one, long forUs) {
+        harm(one, "stopped");
+        one.wakesUs = Math.max(one.wakesUs, time.nowUs() + forUs);
+    }
+
+    private void harm(Process one, String kind) {
+        kinds.add(kind);
+        one.sound = false;
+        one.harms.add(kind);
+    }
+
+    private List<String> addresses() {
+        return List.copyOf(at.keySet());
+    }
+
+    private void cut(String kind, Process one, long forUs, boolean out, boolean in) {
+        harm(one, kind);
+        List<String> all = addresses();
+        links.part(all, List.of(one.address), out, in, 1);
+        time.after(forUs, () -> links.part(all, List.of(one.address), out, in, -1));
+    }
+
+    private interface Harm {
+        void both(String one, String other, double by);
+    }
+
+    private void meet(String kind, Process one, long forUs, double by, Harm harm) {
+        harm(one, kind);
+        List<String> others = addresses().stream().filter(a -> !a.equals(one.address)).toList();
+        others.forEach(other -> harm.both(one.address, other, by));
+        time.after(forUs, () -> others.forEach(other -> harm.both(one.address, other, -by)));
+    }
+
+    /** Operators start its successor elsewhere, and forget to end it. */
+    private void namesake(Process one) {
+        harm(one, "a second one of its name");
+        Process other = new Process(one.name, address(100 + processes.size()),
+            Math.max(WALL_MS + time.nowUs() / 1000, one.rules.self().life() + 1));
+        other.sound = false;
+        other.harms.add("new");
+        processes.add(other);
+    }
+
+    /** Everybody that runs holds everybody else that runs for live, and nobody besides. */
+    private void ofOneMind() {
+        Set<String> running = new TreeSet<>();
+        processes.stream().filter(Process::runs).forEach(p -> running.add(p.name + "@" + p.address));
+        for (Process p : processes) {
+            if (!p.runs()) {
+                continue;
+            }
+            Set<String> seen = new TreeSet<>();
+            seen.add(p.name + "@" + p.address);
+            p.rules.others().stream().filter(Member::live)
+                .forEach(m -> seen.add(m.name() + "@" + m.address()));
+            if (!seen.equals(running)) {
+                Set<String> missing = new TreeSet<>(running);
+                missing.removeAll(seen);
+                seen.removeAll(running);
+                broken.add(p.name + " at the end does not know " + missing + " and holds " + seen
+                    + " for live");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/TrialLinks.java
@@ -0,0 +1,58 @@
+package holdproxy.lab;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What is wrong between the processes of a trial, in each direction; faults may lie over one another. */
+final class TrialLinks {
+    private record Pair(String from, String to) {
+    }
+
+    private final Map<Pair, Integer> cuts = new HashMap<>();
+    private final Map<Pair, Double> slow = new HashMap<>();
+    private final Map<Pair, Double> lost = new HashMap<>();
+
+    boolean cut(String from, String to) {
+        return cuts.getOrDefault(new Pair(from, to), 0) > 0;
+    }
+
+    double slowUs(String from, String to) {
+        return slow.getOrDefault(new Pair(from, to), 0.0);
+    }
+
+    /** Part of the messages that do not arrive. */
+    double lost(String from, String to) {
+        return lost.getOrDefault(new Pair(from, to), 0.0);
+    }
+
+    /** Cuts these from all the others, out from them or in to them, once more (1) or once less (-1). */
+    void part(Collection<String> all, List<String> some, boolean out, boolean in, int by) {
+        for (String one : some) {
+            for (String other : all) {
+                if (some.contains(other)) {
+                    continue;
+                }
+                if (out) {
+                    cuts.merge(new Pair(one, other), by, Integer::sum);
+                }
+                if (in) {
+                    cuts.merge(new Pair(other, one), by, Integer::sum);
+                }
+            }
+        }
+    }
+
+    /** Both ways between these two, so much more. */
+    void slow(String one, String other, double us) {
+        slow.merge(new Pair(one, other), us, Double::sum);
+        slow.merge(new Pair(other, one), us, Double::sum);
+    }
+
+    /** Both ways between these two, so much more of it. */
+    void lose(String one, String other, double part) {
+        lost.merge(new Pair(one, other), part, Double::sum);
+        lost.merge(new Pair(other, one), part, Double::sum);
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/lab/TrialTime.java
@@ -0,0 +1,36 @@
+package holdproxy.lab;
+
+import holdproxy.town.Timeline;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Time that passes from task to task; those of one moment run in the order in which they were given. */
+final class TrialTime implements Timeline {
+    private record Task(long us, long order, Runnable what) {
+    }
+
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>(
+        Comparator.comparingLong(Task::us).thenComparingLong(Task::order));
+    private long nowUs;
+    private long order;
+
+    @Override
+    public long nowUs() {
+        return nowUs;
+    }
+
+    @Override
+    public void after(long delayUs, Runnable task) {
+        tasks.add(new Task(nowUs + Math.max(0, delayUs), order++, task));
+    }
+
+    /** Runs all that is due until then. */
+    void run(long untilUs) {
+        while (!tasks.isEmpty() && tasks.peek().us <= untilUs) {
+            Task next = tasks.poll();
+            nowUs = next.us;
+            next.what.run();
+        }
+        nowUs = untilUs;
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/peers/Links.java
@@ -0,0 +1,302 @@
+package holdproxy.peers;
+
+import holdproxy.input.BadInput;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * Frames from and to other processes: a connection for each direction, opened when there is something to
+ * send. A frame that cannot go now is dropped, for who sends repeats what matters. On one event loop.
+ *
+ * <p>Bounded: so many connections each way, so many bytes and frames that wait for one, frames of so many
+ * bytes.
+ */
+public final class Links implements AutoCloseable {
+    /** Bytes of the longest frame. */
+    public static final int LONGEST_FRAME = 1 << 20;
+    private static final int VERSION = 1;
+    private static final int HEAD = 2;
+    private static final int LENGTH = 4;
+    private static final int MOST_CONNECTIONS = 2048;
+    private static final int MOST_WAITING = 64;
+    private static final int MOST_UNSENT = 4 << 20;
+    private static final int CONNECT_MS = 1_000;
+    private static final int IDLE_S = 30;
+    private static final int SILENT_S = 120;
+    private static final long AGAIN_NS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /** Takes frames, on the event loop; a {@link BadInput} from it ends the connection that they came by. */
+    public interface Receiver {
+        void received(byte[] frame);
+    }
+
+    private final EventLoop loop;
+    private final Map<String, InetSocketAddress> routes;
+    private final Function<String, InetSocketAddress> addresses;
+    private final Consumer<String> log;
+    private final Map<Integer, Receiver> receivers = new HashMap<>();
+    private final Map<InetSocketAddress, Outgoing> outgoing = new HashMap<>();
+    private final Set<Channel> incoming = new LinkedHashSet<>();
+    private Channel listener;
+    private long dropped;
+    private long sentBytes;
+    private long sentFrames;
+
+    /**
+     * {@code routes}: where processes are reached whose own addresses do not serve from here, by name;
+     * {@code addresses} reads an address, with a {@link BadInput} where it is none; {@code log} takes lines
+     * on the loop.
+     */
+    public Links(EventLoop loop, Map<String, InetSocketAddress> routes,
+            Function<String, InetSocketAddress> addresses, Consumer<String> log) {
+        this.loop = loop;
+        this.routes = Map.copyOf(routes);
+        this.addresses = addresses;
+        this.log = log;
+    }
+
+    /** Who takes the frames of a kind, a number from 0 to 127. To be said before {@link #listen}. */
+    public void receive(int kind, Receiver receiver) {
+        receivers.put(kind, receiver);
+    }
+
+    public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel ch) {
+                    if (incoming.size() >= MOST_CONNECTIONS) {
+                        ch.close();
+                        return;
+                    }
+                    incoming.add(ch);
+                    ch.closeFuture().addListener(f -> incoming.remove(ch));
+                    ch.pipeline().addLast(new IdleStateHandler(SILENT_S, 0, 0),
+                        new LengthFieldBasedFrameDecoder(LONGEST_FRAME + LENGTH + HEAD, 0, LENGTH, 0, LENGTH),
+                        new Incoming());
+                }
+            }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** Frames that could not go, since the start. */
+    public long dropped() {
+        return dropped;
+    }
+
+    public long sentFrames() {
+        return sentFrames;
+    }
+
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    /** Sends to a process, by its route if it has one, else to the address; null: no name is known. */
+    public void send(String name, String address, int kind, byte[] frame) {
+        InetSocketAddress to = target(name, address);
+        if (to == null || frame.length > LONGEST_FRAME) {
+            dropped++;
+            return;
+        }
+        Outgoing link = outgoing.get(to);
+        if (link == null) {
+            if (outgoing.size() >= MOST_CONNECTIONS) {
+                outgoing.values().removeIf(o -> o.failed);
+            }
+            if (outgoing.size() >= MOST_CONNECTIONS) {
+                dropped++;
+                return;
+            }
+            link = new Outgoing(to);
+            outgoing.put(to, link);
+        }
+        link.send(kind, frame);
+    }
+
+    /** The connection to a process that does not answer is given up: the next frame opens another. */
+    public void renew(String name, String address) {
+        Outgoing link = outgoing.get(target(name, address));
+        if (link != null) {
+            link.end();
+        }
+    }
+
+    private InetSocketAddress target(String name, String address) {
+        InetSocketAddress route = name == null ? null : routes.get(name);
+        if (route != null) {
+            return route;
+        }
+        try {
+            return addresses.apply(address);
+        } catch (BadInput e) {
+            return null; // somebody said so of himself; it is counted with what could not go
+        }
+    }
+
+    @Override
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
+        List.copyOf(incoming).forEach(Channel::close);
+        List.copyOf(outgoing.values()).forEach(Outgoing::end);
+    }
+
+    /** The connection to one address. */
+    private final class Outgoing {
+        private final InetSocketAddress to;
+        private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
+        private Channel channel;
+        private boolean open;
+        private boolean failed;
+        private long failedNs;
+
+        Outgoing(InetSocketAddress to) {
+            this.to = to;
+        }
+
+        void send(int kind, byte[] frame) {
+            if (failed && System.nanoTime() - failedNs < AGAIN_NS || waiting.size() >= MOST_WAITING
+                    || open && !channel.isWritable()) {
+                dropped++;
+                return;
+            }
+            ByteBuf bytes = Unpooled.buffer(LENGTH + HEAD + frame.length);
+            bytes.writeInt(HEAD + frame.length).writeByte(VERSION).writeByte(kind).writeBytes(frame);
+            sentFrames++;
+            sentBytes += bytes.readableBytes();
+            if (open) {
+                channel.writeAndFlush(bytes);
+                return;
+            }
+            waiting.add(bytes);
+            if (channel == null) {
+                connect();
+            }
+        }
+
+        private void connect() {
+            failed = false;
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                    new WriteBufferWaterMark(MOST_UNSENT / 2, MOST_UNSENT))
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new IdleStateHandler(0, IDLE_S, 0), new Ending());
+                    }
+                }).connect(to);
+            channel = connecting.channel();
+            connecting.addListener(f -> {
+                if (!f.isSuccess()) {
+                    failed = true;
+                    failedNs = System.nanoTime();
+                    dropped += waiting.size();
+                    drop();
+                    channel = null;
+                    return;
+                }
+                open = true;
+                waiting.forEach(channel::write);
+                waiting.clear();
+                channel.flush();
+                channel.closeFuture().addListener(c -> over());
+            });
+        }
+
+        private void over() {
+            open = false;
+            drop();
+            outgoing.remove(to, this);
+        }
+
+        private void drop() {
+            waiting.forEach(ByteBuf::release);
+            waiting.clear();
+        }
+
+        void end() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+    }
+
+    /** What comes back on a connection that only sends: its end, and its having been idle. */
+    private static final class Ending extends SimpleChannelInboundHandler<Object> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+            // the other side has nothing to say here
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** A connection that others have opened. */
+    private final class Incoming extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            if (frame.readableBytes() < HEAD || frame.readByte() != VERSION) {
+                throw new BadInput("a frame is of another version");
+            }
+            Receiver receiver = receivers.get((int) frame.readByte());
+            if (receiver != null) {
+                byte[] bytes = new byte[frame.readableBytes()];
+                frame.readBytes(bytes);
+                receiver.received(bytes);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            ctx.close(); // nothing has come for long: whoever sent is gone, or has another connection
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                log.accept("from " + ctx.channel().remoteAddress() + ": " + cause.getMessage());
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/peers/Membership.java
@@ -0,0 +1,680 @@
+package holdproxy.peers;
+
+import holdproxy.peers.Member.State;
+import holdproxy.peers.Message.Kind;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.EnumSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.zip.CRC32C;
+
+/**
+ * Which processes of the fleet live, as one process sees it: the rules alone. Time, chance and links are
+ * handed in; every call is with the present moment, which never goes back, and by one thread.
+ *
+ * <p>SWIM with Lifeguard's refinements, and one of its own, since a process that is cut off must not talk
+ * others dead: a verdict takes a last question, which others answer and the suspect does not.
+ *
+ * <p>Bounded: {@link #MOST_MEMBERS} processes, messages of {@link Settings#newsPerMessage} words.
+ */
+public final class Membership {
+    public static final int MOST_MEMBERS = 1000;
+    private static final int VIEW_PART = 64;
+    private static final int MOST_ASKED_FOR = 256;
+    private static final int WORST_HEALTH = 8;
+    private static final long JOIN_AGAIN_US = 1_000_000;
+    private static final long RECONNECT_US = 5_000_000;
+    private static final long VIEW_AGAIN_US = 5_000_000;
+    private static final long SETTLED_US = 2_000_000;
+    private static final long FORGET_US = 600_000_000;
+
+    /** A rule that trials take away, to see what it is for. */
+    public enum Guard {
+        /** Who has no answer from others either passes no judgement. */
+        LAST_QUESTION,
+        /** A suspect contradicts. */
+        REFUTATION
+    }
+
+    /** What the rules have the process do. */
+    public interface Output {
+        /** Sends to a process, or to an address of which the process is not known yet (name null). */
+        void send(String name, String address, Message message);
+
+        void changed(Change change);
+
+        /** Another life of this name has begun elsewhere, and is newer: this one is out of the fleet. */
+        void superseded(Member by);
+    }
+
+    /**
+     * Figures of the rules.
+     *
+     * @param periodUs one process is asked each so often, in microseconds
+     * @param timeoutUs after which others are asked to ask it
+     * @param helpers how many others
+     * @param suspicionPeriods that a suspicion lasts at least, times the decimal logarithm of the fleet
+     * @param suspicionSpread how many times as long it lasts with a single voice
+     * @param voices further ones that bring it down to the least
+     * @param newsPerMessage words that go along with a message
+     * @param newsRounds that a word is passed on, times the binary logarithm of the fleet
+     */
+    public record Settings(long periodUs, long timeoutUs, int helpers, double suspicionPeriods,
+            double suspicionSpread, int voices, int newsPerMessage, int newsRounds) {
+        public static final Settings USUAL = new Settings(500_000, 200_000, 3, 4, 4, 3, 8, 3);
+    }
+
+    /** What is held of another process. */
+    private static final class Entry {
+        Member member;
+        /** Who suspects it by what they saw themselves. */
+        final Set<String> suspectedBy = new LinkedHashSet<>();
+        long suspectedUs;
+        long heardUs = Long.MIN_VALUE;
+        long overUs;
+        /** The last question before a verdict: its number (0: none), when, and whether others answered. */
+        long lastSeq;
+        long lastUs;
+        boolean othersAnswer;
+
+        Entry(Member member) {
+            this.member = member;
+        }
+    }
+
+    /** A ping that goes out on behalf of another process. */
+    private record AskedFor(String asker, long askersSeq, String target, long nackUs) {
+    }
+
+    private final Settings settings;
+    private final List<String> seeds;
+    private final Random random;
+    private final Output out;
+    private final Set<Guard> guards;
+    private final Map<String, Entry> entries = new TreeMap<>();
+    private final Rumours rumours = new Rumours();
+    private final Map<Long, AskedFor> askedFor = new LinkedHashMap<>();
+    private final List<String> round = new ArrayList<>();
+    private Member self;
+    private boolean joined;
+    private boolean over;
+    private int health;
+    private long seq;
+
+    private String probed;
+    private long probeSeq;
+    private long probeStartUs;
+    private long helpUs;
+    private long probeEndUs;
+    private boolean answered;
+    private boolean helped;
+    private int helpersAsked;
+    private int nacks;
+
+    private long joinUs;
+    private long reconnectUs;
+    private long askedViewUs = Long.MIN_VALUE / 2;
+    private long changedUs;
+    private long lastHeardUs = Long.MIN_VALUE / 2;
+    private long dueUs;
+    private long othersDigest;
+
+    /**
+     * Of a process that begins now.
+     *
+     * @param life higher than that of any start before, as far as the process can tell
+     * @param seeds addresses at which others may be found, its own among them or not
+     */
+    public Membership(Settings settings, String name, String address, long life, List<String> seeds,
+            Random random, long nowUs, Output out) {
+        this(settings, name, address, life, seeds, random, nowUs, out, EnumSet.allOf(Guard.class));
+    }
+
+    /** For trials: with these rules alone. */
+    public Membership(Settings settings, String name, String address, long life, List<String> seeds,
+            Random random, long nowUs, Output out, Set<Guard> guards) {
+        this.settings = settings;
+        this.seeds = seeds.stream().filter(s -> !s.equals(address)).toList();
+        this.random = random;
+        this.out = out;
+        this.guards = guards;
+        self = new Member(name, address, life, 0, State.ALIVE, name);
+        joinUs = nowUs;
+        reconnectUs = nowUs + RECONNECT_US;
+        probeEndUs = nowUs + random.nextInt((int) settings.periodUs);
+        dueUs = nowUs;
+        changedUs = nowUs;
+    }
+
+    public Member self() {
+        return self;
+    }
+
+    /** Everybody known, this process not among them, by name. */
+    public Collection<Member> others() {
+        return entries.values().stream().map(e -> e.member).toList();
+    }
+
+    /** What is held of another process; null where nothing is. */
+    public Member other(String name) {
+        Entry entry = entries.get(name);
+        return entry == null ? null : entry.member;
+    }
+
+    /** Whether others have answered since the start. */
+    public boolean joined() {
+        return joined;
+    }
+
+    /** Whether nobody has been heard for so long that this process may be the one that is cut off. */
+    public boolean isolated(long nowUs) {
+        return live() > 0 && nowUs - lastHeardUs > 4 * settings.periodUs;
+    }
+
+    /** When {@link #tick} wants to be called next; the largest number: never again. */
+    public long dueUs() {
+        return over ? Long.MAX_VALUE : dueUs;
+    }
+
+    // ---- time ----
+
+    /** To be called at {@link #dueUs}, or when the process comes round to it. */
+    public void tick(long nowUs) {
+        if (over) {
+            return;
+        }
+        joinOn(nowUs);
+        probeOn(nowUs);
+        nackOn(nowUs);
+        judge(nowUs);
+        reconnectOn(nowUs);
+        entries.values().removeIf(e -> !e.member.live() && nowUs - e.overUs > FORGET_US);
+        due(nowUs);
+    }
+
+    private void due(long nowUs) {
+        long next = reconnectUs;
+        if (!joined && !seeds.isEmpty()) {
+            next = Math.min(next, joinUs);
+        }
+        next = Math.min(next, probed != null && !helped && !answered ? helpUs : probeEndUs);
+        for (AskedFor each : askedFor.values()) {
+            next = Math.min(next, each.nackUs);
+        }
+        for (Entry e : entries.values()) {
+            if (e.member.state() == State.SUSPECT) {
+                next = Math.min(next, e.lastSeq > 0 ? e.lastUs + lastWaitUs() : endsUs(e));
+            }
+        }
+        dueUs = Math.max(nowUs + 1, next);
+    }
+
+    private void joinOn(long nowUs) {
+        if (!joined && nowUs >= joinUs) {
+            joinUs = nowUs + JOIN_AGAIN_US;
+            for (String seed : seeds) {
+                out.send(null, seed, message(Kind.ASK_VIEW, ++seq, "", List.of()));
+            }
+        }
+    }
+
+    /** Now and then somebody who is held for gone is asked, or a seed: so parts find together again. */
+    private void reconnectOn(long nowUs) {
+        if (nowUs < reconnectUs) {
+            return;
+        }
+        reconnectUs = nowUs + RECONNECT_US + random.nextInt((int) RECONNECT_US);
+        List<Member> gone = entries.values().stream().map(e -> e.member).filter(m -> !m.live()).toList();
+        if (!gone.isEmpty()) {
+            Member one = gone.get(random.nextInt(gone.size()));
+            out.send(one.name(), one.address(), message(Kind.ASK_VIEW, ++seq, "", List.of(one)));
+        }
+        Set<String> known = new LinkedHashSet<>();
+        entries.values().stream().filter(e -> e.member.live()).forEach(e -> known.add(e.member.address()));
+        List<String> unmet = seeds.stream().filter(s -> !known.contains(s)).toList();
+        if (joined && !unmet.isEmpty()) {
+            out.send(null, unmet.get(random.nextInt(unmet.size())),
+                message(Kind.ASK_VIEW, ++seq, "", List.of()));
+        }
+    }
+
+    // ---- probing ----
+
+    private void probeOn(long nowUs) {
+        if (probed != null && !answered && !helped && nowUs >= helpUs) {
+            helped = true;
+            Member target = entries.get(probed).member;
+            for (Member helper : some(settings.helpers, probed)) {
+                helpersAsked++;
+                send(helper, Kind.PING_REQUEST, probeSeq, probed);
+            }
+            // once more directly: the first may have been the one that was lost
+            send(target, Kind.PING, probeSeq, "");
+        }
+        if (nowUs < probeEndUs) {
+            return;
+        }
+        if (probed != null && answered) {
+            better();
+        } else if (probed != null) {
+            missed(nowUs);
+        }
+        next(nowUs);
+    }
+
+    private void missed(long nowUs) {
+        Entry target = entries.get(probed);
+        // helpers that live but got no answer speak against the target; silent ones against this process
+        worse(helpersAsked > nacks ? 1 : 0);
+        boolean heard = lastHeardUs >= probeStartUs || !guards.contains(Guard.LAST_QUESTION) || live() == 1;
+        if (target != null && target.member.live() && heard) {
+            suspected(target, target.member.as(State.SUSPECT, self.name()), nowUs);
+        }
+    }
+
+    private void next(long nowUs) {
+        probed = nextTarget();
+        long scale = 1 + health;
+        probeEndUs = nowUs + settings.periodUs * scale;
+        if (probed != null) {
+            answered = false;
+            helped = false;
+            helpersAsked = 0;
+            nacks = 0;
+            probeStartUs = nowUs;
+            helpUs = nowUs + settings.timeoutUs * scale;
+            probeSeq = ++seq;
+            Member target = entries.get(probed).member;
+            send(target, Kind.PING, probeSeq, "");
+        }
+    }
+
+    /** Everybody in turn, in an order drawn anew each time: so nobody waits for more than two rounds. */
+    private String nextTarget() {
+        while (true) {
+            if (round.isEmpty()) {
+                entries.values().stream().map(e -> e.member).filter(Member::live)
+                    .forEach(m -> round.add(m.name()));
+                if (round.isEmpty()) {
+                    return null;
+                }
+                Collections.shuffle(round, random);
+            }
+            String name = round.remove(round.size() - 1);
+            Entry entry = entries.get(name);
+            if (entry != null && entry.member.live()) {
+                return name;
+            }
+        }
+    }
+
+    private List<Member> some(int most, String but) {
+        List<Member> all = new ArrayList<>();
+        entries.values().stream().map(e -> e.member)
+            .filter(m -> m.state() == State.ALIVE && !m.name().equals(but)).forEach(all::add);
+        Collections.shuffle(all, random);
+        return all.subList(0, Math.min(most, all.size()));
+    }
+
+    private void worse(int by) {
+        health = Math.min(WORST_HEALTH, health + by);
+    }
+
+    private void better() {
+        health = Math.max(0, health - 1);
+    }
+
+    private void nackOn(long nowUs) {
+        askedFor.values().removeIf(each -> {
+            boolean due = nowUs >= each.nackUs;
+            Entry asker = entries.get(each.asker);
+            if (due && asker != null) {
+                send(asker.member, Kind.NACK, each.askersSeq, each.target);
+            }
+            return due;
+        });
+    }
+
+    // ---- suspicion ----
+
+    private void suspected(Entry entry, Member word, long nowUs) {
+        Member before = entry.member;
+        if (before.state() != State.SUSPECT) {
+            entry.suspectedUs = nowUs;
+            entry.lastSeq = 0;
+            entry.suspectedBy.clear();
+            hold(entry, word);
+        }
+        boolean isNew = entry.suspectedBy.size() <= settings.voices && entry.suspectedBy.add(word.by());
+        if (isNew) {
+            rumours.add(word);
+        }
+        if (before.state() != State.SUSPECT) {
+            changed(before, entry, 1, nowUs);
+        }
+    }
+
+    /** When a suspicion becomes a death: the sooner the more have it by what they saw themselves. */
+    private long endsUs(Entry entry) {
+        double least = settings.suspicionPeriods * settings.periodUs * Math.max(1, Math.log10(live() + 1));
+        double most = least * settings.suspicionSpread;
+        int further = Math.max(0, entry.suspectedBy.size() - 1);
+        double part = Math.log(further + 1) / Math.log(settings.voices + 1);
+        return entry.suspectedUs + (long) Math.max(least, most - (most - least) * part);
+    }
+
+    private void judge(long nowUs) {
+        for (Entry e : List.copyOf(entries.values())) {
+            if (e.member.state() != State.SUSPECT || nowUs < endsUs(e)) {
+                continue;
+            }
+            boolean alone = live() == 1 || !guards.contains(Guard.LAST_QUESTION);
+            if (e.heardUs > e.suspectedUs) {
+                // whatever is said: it has been heard since
+                Member before = e.member;
+                hold(e, before.as(State.ALIVE, before.name()));
+                changed(before, e, 1, nowUs);
+            } else if (alone) {
+                died(e, e.member.as(State.DEAD, self.name()), nowUs);
+            } else if (e.lastSeq == 0) {
+                askOnceMore(e, nowUs);
+            } else if (nowUs >= e.lastUs + lastWaitUs() && e.othersAnswer) {
+                died(e, e.member.as(State.DEAD, self.name()), nowUs);
+            } else if (nowUs >= e.lastUs + lastWaitUs()) {
+                // it may be this process that nobody reaches
+                e.suspectedUs = nowUs;
+                e.lastSeq = 0;
+            }
+        }
+    }
+
+    /** The suspect itself, and others for it: they say at least that they live. */
+    private void askOnceMore(Entry suspect, long nowUs) {
+        suspect.lastSeq = ++seq;
+        suspect.lastUs = nowUs;
+        suspect.othersAnswer = false;
+        send(suspect.member, Kind.PING, suspect.lastSeq, "");
+        for (Member helper : some(settings.helpers, suspect.member.name())) {
+            send(helper, Kind.PING_REQUEST, suspect.lastSeq, suspect.member.name());
+        }
+    }
+
+    private long lastWaitUs() {
+        return 2 * settings.timeoutUs * (1 + health);
+    }
+
+    private void died(Entry entry, Member word, long nowUs) {
+        Member before = entry.member;
+        hold(entry, word);
+        entry.overUs = nowUs;
+        rumours.add(word);
+        changed(before, entry, entry.suspectedBy.size(), nowUs);
+    }
+
+    // ---- what others say ----
+
+    /** A message has come. */
+    public void received(long nowUs, Message message) {
+        if (over || message.sender().name().equals(self.name()) && message.sender().life() == self.life()) {
+            return;
+        }
+        if (message.sender().name().equals(self.name())) {
+            namesake(nowUs, message);
+            return;
+        }
+        learn(message.sender(), nowUs);
+        Entry sender = entries.get(message.sender().name());
+        if (sender == null || sender.member.life() > message.sender().life()) {
+            // there are too many, or a life that is over still talks; it is told who lives
+            if (sender != null) {
+                out.send(null, message.sender().address(), message(Kind.VIEW, message.seq(), "",
+                    List.of(sender.member)));
+            }
+            return;
+        }
+        sender.heardUs = nowUs;
+        lastHeardUs = nowUs;
+        message.news().forEach(word -> learn(word, nowUs));
+        if (over) {
+            return;
+        }
+        take(nowUs, message, sender.member);
+        lookForDifference(nowUs, message, sender.member);
+        due(Math.min(nowUs, dueUs));
+    }
+
+    private void take(long nowUs, Message message, Member sender) {
+        switch (message.kind()) {
+            case PING -> send(sender, Kind.ACK, message.seq(), "");
+            case ACK -> acknowledged(nowUs, message);
+            case NACK -> notAcknowledged(message);
+            case PING_REQUEST -> {
+                Entry target = entries.get(message.target());
+                if (target != null && askedFor.size() < MOST_ASKED_FOR) {
+                    askedFor.put(++seq, new AskedFor(sender.name(), message.seq(), message.target(),
+                        nowUs + settings.timeoutUs * 4 / 5));
+                    send(target.member, Kind.PING, seq, "");
+                }
+            }
+            case ASK_VIEW -> tellAll(sender, message.seq());
+            default -> joined = true; // a view: it was taken with the news
+        }
+    }
+
+    private void notAcknowledged(Message message) {
+        nacks += message.seq() == probeSeq ? 1 : 0;
+        Entry suspect = entries.get(message.target());
+        if (suspect != null && message.seq() == suspect.lastSeq) {
+            suspect.othersAnswer = true;
+        }
+    }
+
+    private void acknowledged(long nowUs, Message message) {
+        AskedFor ours = askedFor.remove(message.seq());
+        if (ours != null) {
+            Entry asker = entries.get(ours.asker);
+            if (asker != null) {
+                send(asker.member, Kind.ACK, ours.askersSeq, ours.target);
+            }
+        } else if (message.seq() == probeSeq && probed != null) {
+            answered = true;
+            if (message.target().equals(probed)) {
+                entries.get(probed).heardUs = nowUs; // by way of another
+            }
+        } else {
+            Entry suspect = entries.get(message.target());
+            if (suspect != null && message.seq() == suspect.lastSeq) {
+                suspect.heardUs = nowUs;
+            }
+        }
+    }
+
+    /** Where both have settled and still differ, something was missed: everything is asked for. */
+    private void lookForDifference(long nowUs, Message message, Member sender) {
+        if (!joined && nowUs >= joinUs && message.kind() != Kind.VIEW) {
+            joinUs = nowUs + JOIN_AGAIN_US;
+            send(sender, Kind.ASK_VIEW, ++seq, "");
+            return;
+        }
+        boolean settled = nowUs - changedUs > SETTLED_US && nowUs - askedViewUs > VIEW_AGAIN_US;
+        if (settled && message.kind() != Kind.VIEW && message.digest() != digest()) {
+            askedViewUs = nowUs;
+            send(sender, Kind.ASK_VIEW, ++seq, "");
+        }
+    }
+
+    private void tellAll(Member to, long number) {
+        List<Member> all = new ArrayList<>();
+        entries.values().forEach(e -> all.add(e.member));
+        // first what the asker is held for: it may be told of a later life than it has
+        int asker = all.indexOf(to);
+        if (asker > 0) {
+            Collections.swap(all, 0, asker);
+        }
+        for (int from = 0; from == 0 || from < all.size(); from += VIEW_PART) {
+            out.send(to.name().isEmpty() ? null : to.name(), to.address(), message(Kind.VIEW, number, "",
+                all.subList(from, Math.min(all.size(), from + VIEW_PART))));
+        }
+    }
+
+    private void learn(Member word, long nowUs) {
+        if (word.name().equals(self.name())) {
+            ofSelf(word, nowUs);
+            return;
+        }
+        Entry entry = entries.get(word.name());
+        if (entry == null) {
+            if (word.live() && entries.size() < MOST_MEMBERS) {
+                entry = new Entry(word);
+                othersDigest += of(word);
+                entry.suspectedUs = nowUs;
+                entries.put(word.name(), entry);
+                if (word.state() == State.SUSPECT) {
+                    entry.suspectedBy.add(word.by());
+                }
+                round.add(round.isEmpty() ? 0 : random.nextInt(round.size() + 1), word.name());
+                rumours.add(word);
+                changed(null, entry, 1, nowUs);
+            }
+            return;
+        }
+        Member held = entry.member;
+        if (word.sameWord(held) && held.live() && word.state() == State.SUSPECT) {
+            suspected(entry, word, nowUs);
+        } else if (word.replaces(held)) {
+            replaced(entry, word, nowUs);
+        }
+    }
+
+    private void replaced(Entry entry, Member word, long nowUs) {
+        Member before = entry.member;
+        hold(entry, word);
+        entry.suspectedBy.clear();
+        entry.suspectedUs = nowUs;
+        entry.lastSeq = 0;
+        if (word.state() == State.SUSPECT) {
+            entry.suspectedBy.add(word.by());
+        }
+        if (!word.live()) {
+            entry.overUs = nowUs;
+        }
+        rumours.add(word);
+        boolean seen = before.state() != word.state() || before.life() != word.life()
+            || !before.address().equals(word.address());
+        if (seen) {
+            changed(before, entry, 1, nowUs);
+        }
+    }
+
+    /** Somebody's word of this process. */
+    private void ofSelf(Member word, long nowUs) {
+        if (word.life() > self.life()) {
+            if (joined) {
+                over = true;
+                out.superseded(word);
+            } else {
+                // the wall clock went back, or the disk is gone: this start is the later one all the same
+                self = new Member(self.name(), self.address(), word.life() + 1, 0, State.ALIVE, self.name());
+                joinUs = nowUs;
+            }
+        } else if (word.life() < self.life()) {
+            rumours.add(self);
+        } else if (word.state() != State.ALIVE && word.incarnation() >= self.incarnation()
+                && self.state() == State.ALIVE && guards.contains(Guard.REFUTATION)) {
+            self = new Member(self.name(), self.address(), self.life(), word.incarnation() + 1, State.ALIVE,
+                self.name());
+            worse(1);
+            rumours.add(self);
+        }
+    }
+
+    /** Another process of this name: the earlier of the two goes, and tells the later whom it knows. */
+    private void namesake(long nowUs, Message message) {
+        Member other = message.sender();
+        if (other.life() > self.life()) {
+            tellAll(new Member("", other.address(), 0, 0, State.ALIVE, ""), message.seq());
+            ofSelf(other, nowUs);
+        } else if (message.kind() == Kind.VIEW) {
+            message.news().forEach(word -> learn(word, nowUs));
+            due(Math.min(nowUs, dueUs));
+        } else {
+            out.send(null, other.address(), message(Kind.VIEW, message.seq(), "", List.of(self)));
+        }
+    }
+
+    // ---- leaving, and what is passed on ----
+
+    /** The process ends: some of the others hear it at once, and pass it on. */
+    public void leave() {
+        if (over) {
+            return;
+        }
+        self = new Member(self.name(), self.address(), self.life(), self.incarnation() + 1, State.LEFT,
+            self.name());
+        for (Member member : some(settings.newsRounds * log2(), "")) {
+            out.send(member.name(), member.address(), message(Kind.NACK, 0, "", List.of(self)));
+        }
+        over = true;
+    }
+
+    private void changed(Member before, Entry entry, int voices, long nowUs) {
+        changedUs = nowUs;
+        out.changed(new Change(before, entry.member, voices));
+    }
+
+    /** What goes round, and what the receiver has to hear: that it is suspected. */
+    private List<Member> newsFor(String to) {
+        List<Member> words = rumours.next(to, settings.newsPerMessage, settings.newsRounds * log2());
+        Entry entry = entries.get(to);
+        if (entry != null && entry.member.state() != State.ALIVE && !words.contains(entry.member)) {
+            words.add(entry.member);
+        }
+        return words;
+    }
+
+    private void send(Member to, Kind kind, long number, String target) {
+        out.send(to.name(), to.address(), message(kind, number, target, newsFor(to.name())));
+    }
+
+    private Message message(Kind kind, long number, String target, List<Member> words) {
+        return new Message(kind, number, target, digest(), self, words);
+    }
+
+    private int live() {
+        int live = 0;
+        for (Entry e : entries.values()) {
+            live += e.member.live() ? 1 : 0;
+        }
+        return live;
+    }
+
+    private int log2() {
+        return 64 - Long.numberOfLeadingZeros(live() + 1L);
+    }
+
+    /** The same for the same live members, whatever order they came in. */
+    private long digest() {
+        return othersDigest + of(self);
+    }
+
+    private void hold(Entry entry, Member word) {
+        othersDigest -= entry.member.live() ? of(entry.member) : 0;
+        entry.member = word;
+        othersDigest += word.live() ? of(word) : 0;
+    }
+
+    private static long of(Member member) {
+        CRC32C crc = new CRC32C();
+        crc.update((member.name() + " " + member.life() + " " + member.incarnation())
+            .getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+}
--- /dev/null
+++ b/src/test/java/holdproxy/duties/DutyTableTest.java
@@ -0,0 +1,71 @@
+package holdproxy.duties;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import holdproxy.input.BadInput;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Grants, renewals and ends as the log has them, and operations that come late or twice. */
+class DutyTableTest {
+    private final DutyTable table = new DutyTable();
+    private long index;
+
+    private Object apply(List<Object> operation) {
+        return table.apply(++index, operation);
+    }
+
+    @Test
+    void oneHoldsItAndTheNextHasAHigherToken() {
+        assertEquals(List.of("HELD", 1L, 0L), apply(DutyTable.ask("d", "a", 5, 1000, 0)));
+        assertEquals(List.of("TAKEN", 1L, "a"), apply(DutyTable.ask("d", "b", 9, 1000, 0)));
+        assertEquals(List.of("TAKEN", 1L, "a"), apply(DutyTable.ask("d", "a", 6, 1000, 0)), "another life is another");
+        assertEquals(List.of("HELD", 1L, 1L), apply(DutyTable.ask("d", "a", 5, 1000, 0)), "asked twice: a renewal");
+        assertEquals(List.of("HELD", 1L, 2L), apply(DutyTable.renew("d", 1)));
+        assertEquals(List.of("HELD", 2L, 0L), apply(DutyTable.ask("e", "b", 9, 1000, 0)));
+        assertEquals(List.of("ENDED"), apply(DutyTable.release("d", 1)));
+        assertEquals(List.of("HELD", 3L, 0L), apply(DutyTable.ask("d", "b", 9, 1000, 1)));
+    }
+
+    @Test
+    void whatComesLateChangesNothing() {
+        apply(DutyTable.ask("d", "a", 5, 1000, 0));
+        Lease first = table.lease("d");
+        apply(DutyTable.renew("d", 1));
+        assertEquals(List.of("UNCHANGED"), apply(DutyTable.expire(first)), "it was renewed meanwhile");
+        assertEquals(List.of("ENDED"), apply(DutyTable.expire(table.lease("d"))));
+        assertEquals(List.of("ENDED"), apply(DutyTable.renew("d", 1)), "a renewal after the end");
+        assertEquals(List.of("FREE", 1L), apply(DutyTable.ask("d", "a", 5, 1000, 0)), "an asking from before the end");
+        assertNull(table.lease("d"));
+        assertEquals(List.of("HELD", 2L, 0L), apply(DutyTable.ask("d", "b", 9, 1000, 1)));
+        assertEquals(List.of("UNCHANGED"), apply(DutyTable.release("d", 1)), "the end of an earlier lease");
+        assertEquals("b", table.lease("d").holder());
+    }
+
+    @Test
+    void aSnapshotHasAllOfIt() {
+        apply(DutyTable.ask("d", "a", 5, 1000, 0));
+        apply(DutyTable.renew("d", 1));
+        apply(DutyTable.ask("e", "b", 9, 2000, 0));
+        apply(DutyTable.release("e", 2));
+        DutyTable other = new DutyTable();
+        List<String> heard = new ArrayList<>();
+        other.onChange(heard::add);
+        other.restore(table.snapshot());
+        assertEquals(table.leases(), other.leases());
+        assertEquals(List.of("d", "e"), heard);
+        assertEquals(List.of("HELD", 3L, 0L), other.apply(9, DutyTable.ask("e", "c", 1, 1000, 2)), "tokens go on");
+    }
+
+    @Test
+    void dutiesAreBounded() {
+        for (int i = 0; i < DutyTable.MOST_DUTIES; i++) {
+            apply(DutyTable.ask("d" + i, "a", 5, 1000, 0));
+        }
+        assertEquals(List.of("FREE", 0L), apply(DutyTable.ask("one more", "a", 5, 1000, 0)));
+        assertThrows(BadInput.class, () -> apply(List.of("unknown", "d")));
+    }
+}
--- /dev/null
+++ b/src/test/java/holdproxy/lab/CouncilTrialTest.java
@@ -0,0 +1,84 @@
+package holdproxy.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.duties.Duties;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The council and the duties under faults in virtual time, and that the judges find what is planted. */
+class CouncilTrialTest {
+    private static final int SEEDS = 60;
+    private static final int SEEDS_TO_FIND = 200;
+    private static final double SECONDS = 60;
+
+    private static CouncilTrial.Outcome council(long seed, Set<CouncilTrial.Planted> planted) {
+        return CouncilTrial.play(seed, seed % 2 == 0 ? 3 : 5, 2, SECONDS, planted);
+    }
+
+    private static DutiesTrial.Outcome duties(long seed, Set<Duties.Guard> guards, boolean checksTokens) {
+        return DutiesTrial.play(seed, seed % 2 == 0 ? 3 : 5, 2, SECONDS, guards, checksTokens);
+    }
+
+    @Test
+    void aCouncilAgreesAndForgetsNothingThatItAnswered() {
+        Set<String> kinds = new TreeSet<>();
+        int answered = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            CouncilTrial.Outcome outcome = council(seed, EnumSet.noneOf(CouncilTrial.Planted.class));
+            assertEquals(List.of(), outcome.broken(), "seed " + seed + " " + outcome.kinds());
+            kinds.addAll(outcome.kinds());
+            answered += outcome.answered();
+        }
+        assertTrue(kinds.containsAll(List.of("killed", "disk lost", "stopped", "cut off", "hears nobody",
+            "nobody hears it", "split", "slow", "disk full", "disk not forced", "restarted", "bit flipped")), kinds + "");
+        assertTrue(answered > SEEDS * 500, answered + " answered");
+    }
+
+    @Test
+    void trialsGoTheSameWayEachTime() {
+        assertEquals(council(3, Set.of()), council(3, Set.of()));
+        assertEquals(duties(3, EnumSet.allOf(Duties.Guard.class), true), duties(3, EnumSet.allOf(Duties.Guard.class), true));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aPlantedFaultOfTheCouncilIsFound(CouncilTrial.Planted planted) {
+        assertTrue(LongStream.rangeClosed(1, SEEDS_TO_FIND).anyMatch(seed ->
+            !council(seed, EnumSet.of(planted)).broken().isEmpty()), "no seed finds " + planted);
+    }
+
+    @Test
+    void aDutyHasOneHolderAtATime() {
+        int acts = 0;
+        int refused = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            DutiesTrial.Outcome outcome = duties(seed, EnumSet.allOf(Duties.Guard.class), true);
+            assertEquals(List.of(), outcome.broken(), "seed " + seed + " " + outcome.kinds());
+            acts += outcome.acts();
+            refused += outcome.refused();
+        }
+        assertTrue(acts > SEEDS * 1000 && refused > 0, acts + " acts, " + refused + " turned down");
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void withoutOneOfItsGuardsADutyHasTwoHolders(Duties.Guard without) {
+        Set<Duties.Guard> rest = EnumSet.complementOf(EnumSet.of(without));
+        assertTrue(LongStream.rangeClosed(1, SEEDS_TO_FIND).anyMatch(seed ->
+            !duties(seed, rest, true).broken().isEmpty()), "no seed needs " + without);
+    }
+
+    @Test
+    void aResourceThatDoesNotLookAtTokensTakesAnOldHoldersAct() {
+        assertTrue(LongStream.rangeClosed(1, SEEDS_TO_FIND).anyMatch(seed -> duties(seed,
+            EnumSet.allOf(Duties.Guard.class), false).broken().stream().anyMatch(b -> b.startsWith("the resource"))));
+    }
+}
--- /dev/null
+++ b/src/test/java/holdproxy/peers/LinksTest.java
@@ -0,0 +1,171 @@
+package holdproxy.peers;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.input.BadInput;
+import holdproxy.peers.Member.State;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Frames between processes, and the messages in them, whatever comes. */
+class LinksTest {
+    private static final long END_S = 60;
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final BlockingQueue<byte[]> frames = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private Links links(Map<String, InetSocketAddress> routes) throws Exception {
+        Links links = new Links(loop, routes, text -> {
+            throw new BadInput("no address: " + text);
+        }, lines::add);
+        links.receive(1, frame -> {
+            if (frame.length == 1) {
+                throw new BadInput("one byte is nothing");
+            }
+            frames.add(frame);
+        });
+        return links;
+    }
+
+    private InetSocketAddress listen(Links links, InetSocketAddress at) throws Exception {
+        return (InetSocketAddress) links.listen(at).sync().channel().localAddress();
+    }
+
+    private static InetSocketAddress any() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    private byte[] next() throws InterruptedException {
+        byte[] frame = frames.poll(END_S, TimeUnit.SECONDS);
+        assertTrue(frame != null, "no frame has come");
+        return frame;
+    }
+
+    private void send(Links from, String to, byte[] frame) throws Exception {
+        loop.submit(() -> from.send(to, "nowhere", 1, frame)).get();
+    }
+
+    @Test
+    void framesArriveInOrderAndWhatCannotGoIsDroppedAndCounted() throws Exception {
+        Links to = links(Map.of());
+        InetSocketAddress at = listen(to, any());
+        Links from = links(Map.of("b", at));
+        for (int i = 0; i < 50; i++) {
+            send(from, "b", new byte[] {(byte) i, 0});
+        }
+        for (int i = 0; i < 50; i++) {
+            assertEquals(i, next()[0]);
+        }
+        byte[] longest = new byte[Links.LONGEST_FRAME];
+        send(from, "b", longest);
+        assertEquals(longest.length, next().length);
+        send(from, "b", new byte[Links.LONGEST_FRAME + 1]);
+        send(from, "unknown", new byte[2]);
+        assertEquals(2, from.dropped());
+        assertEquals(51, from.sentFrames());
+        loop.submit(() -> from.renew("b", "nowhere")).get();
+        send(from, "b", new byte[] {7, 7});
+        assertArrayEquals(new byte[] {7, 7}, next());
+    }
+
+    @Test
+    void whoIsNotThereYetIsReachedOnceItIs() throws Exception {
+        Links gone = links(Map.of());
+        InetSocketAddress at = listen(gone, any());
+        loop.submit(gone::close).get();
+        Links from = links(Map.of("b", at));
+        send(from, "b", new byte[2]);
+        await(() -> from.dropped() > 0);
+        listen(links(Map.of()), at);
+        await(() -> {
+            send(from, "b", new byte[2]);
+            return !frames.isEmpty();
+        });
+    }
+
+    @Test
+    void otherVersionsAndWhatTheReceiverCannotReadEndTheirConnectionAlone() throws Exception {
+        Links to = links(Map.of());
+        InetSocketAddress at = listen(to, any());
+        byte[][] bad = {{0, 0, 0, 3, 2, 1, 9}, {0, 0, 0, 1, 1}, {0, 0, 0, 3, 1, 1, 9}, {127, 0, 0, 0, 1, 1}};
+        for (byte[] each : bad) {
+            try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+                socket.getOutputStream().write(each);
+                assertEquals(-1, socket.getInputStream().read(), Arrays.toString(each));
+            }
+            assertTrue(lines.poll(END_S, TimeUnit.SECONDS) != null, "it is logged");
+        }
+        Links from = links(Map.of("b", at));
+        send(from, "b", new byte[2]);
+        next();
+    }
+
+    private interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private static void await(Condition condition) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_S);
+        while (!condition.holds()) {
+            assertTrue(System.nanoTime() < endNs, "it never came to be");
+            Thread.onSpinWait();
+        }
+    }
+
+    private static Message message() {
+        Member sender = new Member("proxy-1", "10.0.0.1:7000", 1_764_000_000_123L, 3, State.ALIVE, "proxy-1");
+        return new Message(Message.Kind.PING_REQUEST, Long.MAX_VALUE, "proxy-2", Long.MIN_VALUE, sender,
+            List.of(sender, new Member("proxy-2", "", -1, 0, State.DEAD, "proxy-1")));
+    }
+
+    @Test
+    void messagesComeBackAsTheyWere() {
+        assertEquals(message(), MessageCodec.message(MessageCodec.bytes(message())));
+    }
+
+    /** Bytes changed, cut and made up: each is read, or turned down as bad input and nothing else. */
+    @Test
+    void badMessagesAreTurnedDown() {
+        Random random = new Random(1);
+        byte[] good = MessageCodec.bytes(message());
+        int bad = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = i % 3 == 0 ? new byte[random.nextInt(60)] : Arrays.copyOf(good, random.nextInt(good.length));
+            if (i % 3 == 0) {
+                random.nextBytes(bytes);
+            } else if (i % 3 == 1) {
+                bytes = good.clone();
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+            }
+            try {
+                MessageCodec.message(bytes);
+            } catch (BadInput e) {
+                bad++;
+            }
+        }
+        assertTrue(bad > 10_000, bad + " were turned down");
+        assertThrows(BadInput.class, () -> MessageCodec.message(new byte[0]));
+    }
+}
