--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -1,5 +1,6 @@
 package holdproxy;
 
+import holdproxy.daemon.DaemonCommand;
 import holdproxy.input.BadInput;
 import holdproxy.lab.LabCommand;
 import holdproxy.net.Service;
@@ -10,26 +11,36 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.List;
 
 /**
  * Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire,
- * {@code lab} towns in virtual time, {@code rig} real processes under faults.
+ * {@code lab} towns in virtual time, {@code rig} real processes under faults, {@code daemon} the proxy with
+ * the parts by which a fleet cooperates.
  */
 public final class Main {
+    private static final List<String> WITH_ARGUMENTS = List.of("daemon", "lab", "rig");
+
     private Main() {
     }
 
     public static void main(String[] args) {
-        boolean tool = args.length > 1 && (args[0].equals("lab") || args[0].equals("rig"));
-        String command = args.length == 1 || tool ? args[0] : "";
+        boolean known = args.length == 1 || args.length > 1 && WITH_ARGUMENTS.contains(args[0]);
+        String command = known ? args[0] : "";
         switch (command) {
             case "serve" -> serve();
             case "simhost" -> simhost();
             case "lab" -> System.exit(LabCommand.run(Arrays.copyOfRange(args, 1, args.length)));
+            case "daemon" -> {
+                int code = DaemonCommand.run(Arrays.copyOfRange(args, 1, args.length));
+                if (code != DaemonCommand.RUNS) {
+                    System.exit(code);
+                }
+            }
             case "rig" -> System.exit(RigCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             default -> {
-                System.err.println("usage: java -jar holdproxy.jar serve | simhost | lab | rig"
-                    + " (see lab --help, rig --help)");
+                System.err.println("usage: java -jar holdproxy.jar serve | simhost | daemon | lab | rig"
+                    + " (see daemon --help, lab --help, rig --help)");
                 System.exit(2);
             }
         }
--- /dev/null
+++ b/src/main/java/holdproxy/daemon/CouncilPart.java
@@ -0,0 +1,198 @@
+package holdproxy.daemon;
+
+import holdproxy.council.Council;
+import holdproxy.council.FileDisk;
+import holdproxy.duties.Duties;
+import holdproxy.duties.DutyTable;
+import holdproxy.input.BadInput;
+import holdproxy.peers.Peers;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * The council and the duties in this process, on an event loop of their own: the disk's writing holds up
+ * neither requests nor membership.
+ */
+final class CouncilPart {
+    private static final String DISK = "council";
+    private static final byte OF_COUNCIL = 0;
+    private static final byte FREE = 1;
+    /** Both are well under the time that an end after SIGTERM has. */
+    private static final long HAND_OVER_MS = 1_500;
+    private static final long END_MS = 500;
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final long startNs = System.nanoTime();
+    private final Peers peers;
+    private final Council council;
+    private final Duties duties;
+    private final String name;
+
+    private CouncilPart(DaemonFile file, long life, Peers peers) {
+        this.peers = peers;
+        name = file.name();
+        DutyTable table = new DutyTable();
+        council = new Council(name, file.voters(), new CouncilHost(), new Random(), table);
+        duties = new Duties(name, life, council, table, new DutiesHost(), new Random());
+    }
+
+    /** Takes up this process's vote, if it has one, and asks for the duties that the file names. */
+    static CouncilPart start(DaemonFile file, long life, Peers peers) {
+        CouncilPart part = new CouncilPart(file, life, peers);
+        peers.receive(Peers.COUNCIL, frame -> part.loop.execute(() -> part.received(frame)));
+        part.run(() -> {
+            part.council.begin(new FileDisk(disk(file)));
+            for (DaemonFile.Drill drill : file.drills()) {
+                part.duties.want(drill.duty(), drill.leaseMs());
+                new Drilling(drill, part.duties, part.loop).begin();
+            }
+        });
+        return part;
+    }
+
+    static Path disk(DaemonFile file) {
+        return file.folder().resolve(DISK);
+    }
+
+    private void run(Runnable task) {
+        try {
+            loop.submit(task).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("the council cannot begin", e.getCause());
+        }
+    }
+
+    private void received(byte[] frame) {
+        try {
+            byte[] rest = new byte[Math.max(0, frame.length - 1)];
+            System.arraycopy(frame, Math.min(1, frame.length), rest, 0, rest.length);
+            if (frame.length > 0 && frame[0] == OF_COUNCIL) {
+                council.received(rest);
+            } else if (frame.length > 1 + Long.BYTES && frame[0] == FREE) {
+                ByteBuffer told = ByteBuffer.wrap(rest);
+                long token = told.getLong();
+                duties.toldFree(StandardCharsets.UTF_8.decode(told).toString(), token);
+            }
+        } catch (BadInput e) {
+            EventLog.line("a frame for the council cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** What this process holds is handed over, then leadership: in time for the others not to wait for it. */
+    void end() {
+        CompletableFuture<Void> handed = new CompletableFuture<>();
+        loop.execute(() -> duties.handOver().whenComplete((done, failed) -> handed.complete(null)));
+        await(handed, HAND_OVER_MS, "the duties are not handed over in time");
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        loop.execute(() -> council.end().whenComplete((done, failed) -> over.complete(null)));
+        await(over, END_MS, "the council's part does not end in time");
+    }
+
+    private static void await(CompletableFuture<Void> what, long ms, String late) {
+        try {
+            what.get(ms, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            EventLog.line(late);
+        }
+    }
+
+    private long clockUs() {
+        return (System.nanoTime() - startNs) / 1000;
+    }
+
+    private void later(long us, Runnable task) {
+        if (us <= 0) {
+            loop.execute(task);
+        } else {
+            loop.schedule(task, us, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private final class CouncilHost implements Council.Host {
+        @Override
+        public long nowUs() {
+            return clockUs();
+        }
+
+        @Override
+        public void after(long us, Runnable task) {
+            later(us, task);
+        }
+
+        @Override
+        public void send(String to, byte[] frame) {
+            peers.send(to, Peers.COUNCIL, ByteBuffer.allocate(1 + frame.length).put(OF_COUNCIL).put(frame)
+                .array());
+        }
+
+        @Override
+        public void leads(boolean now) {
+            EventLog.event(now ? "leads" : "leads no longer", "name", name);
+        }
+
+        @Override
+        public void out(String why) {
+            EventLog.event("out of the vote", "name", name, "why", why);
+        }
+    }
+
+    private final class DutiesHost implements Duties.Host {
+        @Override
+        public long nowUs() {
+            return clockUs();
+        }
+
+        @Override
+        public void after(long us, Runnable task) {
+            later(us, task);
+        }
+
+        @Override
+        public void tellFree(String to, String duty, long token) {
+            if (to.equals(name)) {
+                loop.execute(() -> duties.toldFree(duty, token));
+                return;
+            }
+            byte[] text = duty.getBytes(StandardCharsets.UTF_8);
+            peers.send(to, Peers.COUNCIL, ByteBuffer.allocate(1 + Long.BYTES + text.length).put(FREE)
+                .putLong(token).put(text).array());
+        }
+
+        @Override
+        public void granted(String duty, long token) {
+            EventLog.event("duty granted", "duty", duty, "token", token);
+        }
+
+        @Override
+        public void ended(String duty, long token, String why) {
+            EventLog.event("duty ended", "duty", duty, "token", token, "why", why);
+        }
+    }
+
+    /** For the command that founds a council. */
+    static List<String> found(DaemonFile file) {
+        try (FileDisk disk = new FileDisk(disk(file))) {
+            Files.createDirectories(file.folder());
+            Council.found(disk, file.name(), file.voters());
+            return file.voters();
+        } catch (IOException e) {
+            throw new BadInput("the council's disk " + disk(file) + " cannot be written: " + e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/daemon/Daemon.java
@@ -0,0 +1,109 @@
+package holdproxy.daemon;
+
+import holdproxy.input.BadInput;
+import holdproxy.net.Config;
+import holdproxy.net.Service;
+import holdproxy.peers.Change;
+import holdproxy.peers.Member;
+import holdproxy.peers.Peers;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The life of a daemon: starts its proxy and the parts around it, and ends them in their order. */
+final class Daemon {
+    /** What {@link Service} keeps is below the daemon's folder, where it looks for it by this variable. */
+    private static final String KEPT_BELOW = "TMPDIR";
+
+    private final Path file;
+    private DaemonFile inUse;
+    private Service service;
+    private Peers peers;
+    private CouncilPart council;
+
+    private Daemon(Path file, DaemonFile inUse) {
+        this.file = file;
+        this.inUse = inUse;
+    }
+
+    /** Returns once it takes clients; a {@link BadInput} says why it cannot start. */
+    static void start(Path file, Map<String, String> env) {
+        DaemonFile read = DaemonFile.read(file, new SecureRandom().nextLong() >>> 1);
+        try {
+            Files.createDirectories(read.folder());
+        } catch (IOException e) {
+            throw new BadInput("the folder " + read.folder() + " cannot be made: " + e);
+        }
+        new Daemon(file, read).run(env);
+    }
+
+    private void run(Map<String, String> env) {
+        EventLog.event("starting", "name", inUse.name(), "pid", ProcessHandle.current().pid());
+        if (inUse.peers() != null) {
+            long life = LifeFile.next(inUse.folder(), System.currentTimeMillis());
+            peers = Peers.start(inUse.peers(), life, text -> Config.address(text, "an address"), new Told());
+            EventLog.event("peers", "name", inUse.name(), "life", life, "address", inUse.peers().address());
+            if (!inUse.voters().isEmpty()) {
+                council = CouncilPart.start(inUse, life, peers);
+            }
+        }
+        Map<String, String> own = new HashMap<>(env);
+        own.put(KEPT_BELOW, inUse.folder().toString());
+        service = Service.run(inUse.proxy(), config -> {
+            DaemonFile now = DaemonFile.again(file, inUse);
+            inUse = now;
+            return now.proxy();
+        }, own, EventLog::line);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        service.listening();
+        EventLog.event("started", "name", inUse.name());
+    }
+
+    /** SIGTERM: what was taken is answered, then this process is over. */
+    private void end() {
+        EventLog.event("ending", "name", inUse.name());
+        // while requests are answered: what this process holds, others have at once
+        Thread handing = new Thread(this::handOver, "hand-over");
+        handing.start();
+        service.drain();
+        try {
+            handing.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        EventLog.event("ended", "name", inUse.name());
+        Runtime.getRuntime().halt(0);
+    }
+
+    private void handOver() {
+        if (council != null) {
+            council.end();
+        }
+        if (peers != null) {
+            peers.leave();
+        }
+    }
+
+    /** What becomes known of others, as events. */
+    private static final class Told implements Peers.Listener {
+        @Override
+        public void changed(Change change) {
+            EventLog.event("peer", "peer", change.now().name(), "state", change.now().state(), "before",
+                change.before() == null ? "unknown" : change.before().state(), "life", change.now().life(),
+                "incarnation", change.now().incarnation(), "voices", change.voices());
+        }
+
+        @Override
+        public void superseded(Member by) {
+            EventLog.event("superseded", "address", by.address(), "life", by.life());
+        }
+
+        @Override
+        public void line(String text) {
+            EventLog.line(text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/daemon/DaemonCommand.java
@@ -0,0 +1,79 @@
+package holdproxy.daemon;
+
+import holdproxy.command.Commands;
+import holdproxy.input.BadInput;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code holdproxy daemon}: the proxy of an installation of our own. Exit codes: 0 ended as it was told, or
+ * the file is sound; 2 the command or the file is wrong.
+ */
+@Command(name = "daemon", description = "Runs a proxy as one of a fleet that cooperates.",
+    mixinStandardHelpOptions = true, subcommands = {DaemonCommand.Check.class, DaemonCommand.Found.class})
+public final class DaemonCommand implements Callable<Integer> {
+    /** Not an exit code: the process has started and goes on. */
+    public static final int RUNS = -1;
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--config", paramLabel = "FILE.toml", description = "what operators say of it")
+    private Path config;
+
+    private DaemonCommand() {
+    }
+
+    /** Runs a command line; returns its exit code, or {@link #RUNS}. */
+    public static int run(String[] args) {
+        return Commands.run(new DaemonCommand(), args);
+    }
+
+    @Override
+    public Integer call() {
+        if (config == null) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--config FILE.toml is missing");
+        }
+        Daemon.start(config, System.getenv());
+        return RUNS;
+    }
+
+    /** {@code holdproxy daemon found FILE}: once in the life of a fleet, for each of the first voters. */
+    @Command(name = "found",
+        description = "Writes what one of the first voters of a new council begins with.",
+        mixinStandardHelpOptions = true)
+    static final class Found implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE.toml")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            DaemonFile read = DaemonFile.read(file, 1);
+            if (read.voters().isEmpty()) {
+                throw new BadInput(file + ": [council] is missing");
+            }
+            System.out.println(read.name() + " is one of the first voters: " + CouncilPart.found(read));
+            return 0;
+        }
+    }
+
+    /** {@code holdproxy daemon check FILE}: reads the file as a start would, and starts nothing. */
+    @Command(name = "check", description = "Reads a file as a start would; code 2 names what is wrong.",
+        mixinStandardHelpOptions = true)
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE.toml")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            DaemonFile read = DaemonFile.read(file, 1);
+            System.out.println(file + ": " + read.name() + " can start with it");
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/daemon/DaemonFile.java
@@ -0,0 +1,174 @@
+package holdproxy.daemon;
+
+import holdproxy.input.BadInput;
+import holdproxy.net.Config;
+import holdproxy.peers.Peers;
+import holdproxy.toml.TomlPart;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What operators say of a daemon, in TOML. Whatever is missing, unknown or out of its bounds is a
+ * {@link BadInput} with the file and the line.
+ *
+ * @param name of the process in its fleet
+ * @param folder where it keeps what has to outlive it
+ * @param listen where clients come
+ * @param console where operators call; null: nowhere
+ * @param proxy its configuration as a proxy, checked
+ * @param peers how it meets the others of its fleet; null: it is alone
+ * @param voters names of the council's processes; empty: there is none
+ * @param drills duties without a purpose but to be held, for operators and the rig to try the fleet with
+ */
+record DaemonFile(String name, Path folder, InetSocketAddress listen, InetSocketAddress console,
+        Config proxy, Peers.Place peers, List<String> voters, List<Drill> drills) {
+    private static final int LEAST_LEASE_MS = 200;
+    private static final int MOST_LEASE_MS = 60_000;
+
+    /**
+     * A duty without a purpose: its holder sends its token to a guarded resource.
+     *
+     * @param duty its name
+     * @param leaseMs length of its lease, in milliseconds
+     * @param everyMs an act each so often, in milliseconds
+     * @param resource where acts go
+     */
+    record Drill(String duty, int leaseMs, int everyMs, InetSocketAddress resource) {
+    }
+
+    private static final int LEAST_SOCKETS = 128;
+    private static final int MOST_SOCKETS = 1 << 20;
+    private static final int SOCKETS = 1024;
+
+    /** The file as it is now; {@code seed}: of all chance. */
+    static DaemonFile read(Path file, long seed) {
+        return read(file, seed, null);
+    }
+
+    /**
+     * The file for a process that runs already, as {@code inUse} says: what only a start can take, its name
+     * and addresses, has to be as it was.
+     */
+    static DaemonFile again(Path file, DaemonFile inUse) {
+        return read(file, 0, inUse);
+    }
+
+    private static DaemonFile read(Path file, long seed, DaemonFile inUse) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new BadInput("the file " + file + " cannot be read: " + e.getClass().getSimpleName());
+        }
+        TomlPart top = TomlPart.parse(file.toString(), "the file", text);
+        String name = top.read("name", DaemonFile::name);
+        InetSocketAddress listen = top.read("listen", t -> Config.address(t, "listen"));
+        InetSocketAddress discovery = top.read("discovery", t -> Config.address(t, "discovery"));
+        InetSocketAddress console = top.at("console") == null ? null
+            : top.read("console", t -> Config.address(t, "console"));
+        Path folder = top.read("folder", DaemonFile::folder);
+        int sockets = top.whole("sockets", SOCKETS, LEAST_SOCKETS, MOST_SOCKETS);
+        Map<String, Object> settings = top.map("settings");
+        Peers.Place peers = top.at("peers") == null ? null : peers(name, top.part("peers"));
+        List<String> voters = voters(top);
+        List<Drill> drills = new ArrayList<>();
+        for (TomlPart each : top.parts("drill")) {
+            drills.add(new Drill(each.read("duty", DaemonFile::name),
+                each.whole("lease_ms", 3_000, LEAST_LEASE_MS, MOST_LEASE_MS),
+                each.whole("every_ms", 50, 1, MOST_LEASE_MS),
+                each.read("resource", t -> Config.address(t, "resource"))));
+            each.done();
+        }
+        top.done();
+        if (peers == null && !voters.isEmpty()) {
+            throw top.bad(top.at("council"), "a council needs [peers]");
+        }
+        if (voters.isEmpty() && !drills.isEmpty()) {
+            throw top.bad(top.at("drill"), "a duty needs [council]");
+        }
+        Map<String, Object> json = new HashMap<>();
+        json.put("seed", Long.toHexString(seed));
+        json.put("limits", Map.of("sockets", sockets));
+        json.put("known", Map.of("version", 0, "full", true, "servers", List.of()));
+        json.put("settings", settings);
+        try {
+            if (inUse != null) {
+                same(top, "name", inUse.name, name);
+                same(top, "folder", inUse.folder, folder);
+                same(top, "listen", inUse.listen, listen);
+                same(top, "console", inUse.console, console);
+                same(top, "peers", inUse.peers, peers);
+                same(top, "council", inUse.voters, voters);
+                same(top, "drill", inUse.drills, drills);
+            }
+            Config proxy = inUse == null ? Config.of(name, listen, discovery, console, json)
+                : inUse.proxy.reload(discovery, json);
+            Set<String> unknown = proxy.unknownSettings();
+            if (!unknown.isEmpty()) {
+                String first = unknown.iterator().next();
+                throw new BadInput("setting " + first + " is unknown", first);
+            }
+            return new DaemonFile(name, folder, listen, console, proxy, peers, voters, drills);
+        } catch (BadInput e) {
+            throw top.bad(top.atPath("settings" + (e.path() == null ? "" : "." + e.path())), e.getMessage());
+        }
+    }
+
+    private static List<String> voters(TomlPart top) {
+        if (top.at("council") == null) {
+            return List.of();
+        }
+        TomlPart part = top.part("council");
+        List<String> voters = part.texts("voters", DaemonFile::name);
+        part.done();
+        if (voters.size() != 3 && voters.size() != 5 || voters.stream().distinct().count() != voters.size()) {
+            throw top.bad(top.atPath("council.voters"), "voters are not three or five processes: " + voters);
+        }
+        return voters;
+    }
+
+    private static Peers.Place peers(String name, TomlPart part) {
+        InetSocketAddress listen = part.read("listen", t -> Config.address(t, "listen"));
+        String address = part.text("address", listen.getAddress().getHostAddress() + ":" + listen.getPort());
+        List<String> seeds = part.texts("seeds", t -> Config.address(t, "a seed"));
+        Map<String, InetSocketAddress> routes = new HashMap<>();
+        TomlPart stated = part.part("routes");
+        for (String to : stated.keys()) {
+            routes.put(to, stated.read(to, t -> Config.address(t, "the route to " + to)));
+        }
+        stated.done();
+        part.done();
+        return new Peers.Place(name, address, listen, seeds, routes);
+    }
+
+    private static void same(TomlPart top, String key, Object was, Object now) {
+        if (!Objects.equals(was, now)) {
+            throw top.bad(top.at(key), key + " cannot change while the process runs: it was " + was);
+        }
+    }
+
+    private static String name(String text) {
+        if (!text.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")) {
+            throw new BadInput("name is not 1 to 64 letters, digits, dots, dashes and underscores: "
+                + text.replaceAll("\\p{Cntrl}", "?"));
+        }
+        return text;
+    }
+
+    private static Path folder(String text) {
+        try {
+            return Path.of(text);
+        } catch (InvalidPathException e) {
+            throw new BadInput("folder is no path: " + e.getReason());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/daemon/Drilling.java
@@ -0,0 +1,80 @@
+package holdproxy.daemon;
+
+import holdproxy.duties.Duties;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The acts under a drill's duty: a line with the duty and the token to the guarded resource, which compares
+ * the token with those it has seen.
+ */
+final class Drilling {
+    private static final int CONNECT_MS = 1_000;
+
+    private final DaemonFile.Drill drill;
+    private final Duties duties;
+    private final EventLoop loop;
+    private Channel resource;
+    private boolean connecting;
+
+    Drilling(DaemonFile.Drill drill, Duties duties, EventLoop loop) {
+        this.drill = drill;
+        this.duties = duties;
+        this.loop = loop;
+    }
+
+    void begin() {
+        loop.scheduleWithFixedDelay(this::act, drill.everyMs(), drill.everyMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private void act() {
+        if (duties.mayAct(drill.duty()).isEmpty()) {
+            return;
+        }
+        if (resource == null || !resource.isActive()) {
+            connect();
+            return;
+        }
+        if (!resource.isWritable()) {
+            return;
+        }
+        Duties.Act act = duties.begin(drill.duty());
+        resource.writeAndFlush(Unpooled.copiedBuffer(drill.duty() + " " + act.token() + "\n",
+            StandardCharsets.US_ASCII)).addListener(f -> act.close());
+    }
+
+    private void connect() {
+        if (connecting) {
+            return;
+        }
+        connecting = true;
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(new Ignoring())
+            .connect(drill.resource()).addListener(f -> {
+                connecting = false;
+                resource = f.isSuccess() ? ((ChannelFuture) f).channel() : null;
+            });
+    }
+
+    private static final class Ignoring extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ReferenceCountUtil.release(message);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/holdproxy/input/SettingsText.java
+++ b/src/main/java/holdproxy/input/SettingsText.java
@@ -2,14 +2,21 @@
 
 import holdproxy.policy.Router;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
-/** Reads the settings' path=value lines; unknown paths are ignored, missing ones take a safe default. */
+/**
+ * Reads the settings' path=value lines; unknown paths are ignored, but can be asked for; missing ones take a
+ * safe default.
+ */
 public final class SettingsText {
     private static final int MOST_ITEMS = 100_000;
 
     private final Map<String, String> values = new HashMap<>();
+    private final Set<String> asked = new HashSet<>();
 
     public SettingsText(String text) {
         for (String line : text.split("\n")) {
@@ -39,7 +46,7 @@
         s.tenants = new Router.Tenant[integer("tenants.count", 0, 0)];
         for (int i = 0; i < s.tenants.length; i++) {
             Router.Tenant t = new Router.Tenant();
-            t.name = values.getOrDefault("tenants." + i + ".name", "");
+            t.name = value("tenants." + i + ".name", "");
             t.quotaPerS = number("tenants." + i + ".quotaPerS", 0, 0);
             t.share = number("tenants." + i + ".share", 0, 0);
             s.tenants[i] = t;
@@ -104,7 +111,19 @@
 
     /** The names of the values in the load reports, in their order there. */
     public String[] reportFields() {
-        return values.getOrDefault("reporting.fields", "").split(",");
+        return value("reporting.fields", "").split(",");
+    }
+
+    /** The paths that nothing of this class has asked for yet, in order. */
+    public Set<String> unknown() {
+        Set<String> unknown = new TreeSet<>(values.keySet());
+        unknown.removeAll(asked);
+        return unknown;
+    }
+
+    private String value(String path, String fallback) {
+        asked.add(path);
+        return values.getOrDefault(path, fallback);
     }
 
     /** Puts one value of a load report where it belongs; its name is the wire's or the protocol's. */
@@ -124,7 +143,7 @@
 
     private Router.RequestClass requestClass(String path) {
         Router.RequestClass c = new Router.RequestClass();
-        c.name = values.getOrDefault(path + "name", "");
+        c.name = value(path + "name", "");
         c.effect = switch (word(path + "effect", "side_effect", "pure", "token", "side_effect")) {
             case "pure" -> Router.Effect.SAFE;
             case "token" -> Router.Effect.KEYED;
@@ -148,12 +167,12 @@
     }
 
     private BadInput bad(String path, String wanted) {
-        return new BadInput("setting " + path + " is not " + wanted + ": " + shown(values.get(path)));
+        return new BadInput("setting " + path + " is not " + wanted + ": " + shown(values.get(path)), path);
     }
 
     private double number(String path, double fallback, double least) {
-        String text = values.get(path);
-        if (text == null || text.isEmpty()) {
+        String text = value(path, "");
+        if (text.isEmpty()) {
             return fallback;
         }
         try {
@@ -185,7 +204,7 @@
     }
 
     private String word(String path, String fallback, String... allowed) {
-        String text = values.getOrDefault(path, fallback);
+        String text = value(path, fallback);
         for (String word : allowed) {
             if (word.equals(text)) {
                 return word;
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What this proxy is told at its start, checked: anything missing or malformed is a {@link BadInput}. */
 public final class Config {
@@ -76,12 +77,25 @@
      */
     Config reload(Map<String, String> env) {
         Map<String, Object> now = read(variable(env, "LB_CONFIG"));
+        checkShape(now);
+        return next(address(text(now, "discovery", "the configuration"), "discovery"), now);
+    }
+
+    /** The same from what another file says, in the form of this one's. */
+    public Config reload(InetSocketAddress discoveryNow, Map<String, Object> now) {
+        checkShape(now);
+        return next(discoveryNow, now);
+    }
+
+    private void checkShape(Map<String, Object> now) {
         Map<String, Object> served = new HashMap<>(json);
         // the list of nodes comes from discovery; what it looks like is for a start to check
         served.replace("known", Map.of());
         Shape.check(served, now);
-        Config next = new Config(name, listen,
-            address(text(now, "discovery", "the configuration"), "discovery"), console, now);
+    }
+
+    private Config next(InetSocketAddress discoveryNow, Map<String, Object> now) {
+        Config next = new Config(name, listen, discoveryNow, console, now);
         Retuning.check(settings, next.settings);
         return next;
     }
@@ -105,6 +119,24 @@
         return new Config(name, listen, discovery, null, json);
     }
 
+    /** What another file says: {@code json} as the file of {@code LB_CONFIG}; no console where it is null. */
+    public static Config of(String name, InetSocketAddress listen, InetSocketAddress discovery,
+            InetSocketAddress console, Map<String, Object> json) {
+        return new Config(name, listen, discovery, console, json);
+    }
+
+    /** Paths among the settings that nothing reads, in order. */
+    public Set<String> unknownSettings() {
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", object(json, "settings", "the configuration"), pairs);
+        SettingsText text = new SettingsText(pairs);
+        text.settings();
+        text.reportFields();
+        Set<String> unknown = text.unknown();
+        unknown.removeAll(Set.of("localities", "kinds"));
+        return unknown;
+    }
+
     private static String variable(Map<String, String> env, String name) {
         String value = env.get(name);
         if (value == null || value.isBlank()) {
@@ -138,7 +170,7 @@
     }
 
     /** An address of digits: the deployment has no name service, and a look-up would block the loop. */
-    static InetSocketAddress address(String text, String what) {
+    public static InetSocketAddress address(String text, String what) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
         if (host.startsWith("[") && host.endsWith("]")) {
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /** The process around a proxy: what it inherits at its start, the signals that it heeds, and its console. */
 public final class Service implements Operations {
@@ -35,40 +36,56 @@
     private final EventLoop loop;
     private final Log log;
     private final KeptOut kept;
+    private final Consumer<String> lines;
     private EventLoop console;
 
-    private Service(Proxy proxy, EventLoop loop, Log log, KeptOut kept) {
+    private Service(Proxy proxy, EventLoop loop, Log log, KeptOut kept, Consumer<String> lines) {
         this.proxy = proxy;
         this.loop = loop;
         this.log = log;
         this.kept = kept;
+        this.lines = lines;
     }
 
     /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
     public static void serve(Map<String, String> env) {
-        Log log = new Log(Time.system());
-        NettyLog.install(log);
-        Config config = Config.load(env);
+        NettyLog.install(new Log(Time.system()));
+        Service service = run(Config.load(env), null, env, null);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            service.drain();
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
+        service.listening();
+    }
+
+    /**
+     * Starts a proxy, which takes clients when this returns. {@code again} reads the configuration again at
+     * SIGHUP, given the one of the start (null: as {@code env} says); {@code lines} takes the log's lines,
+     * on any thread (null: standard error); {@code env} is looked up for {@code LB_FD} and {@code TMPDIR}.
+     */
+    public static Service run(Config config, UnaryOperator<Config> again, Map<String, String> env,
+            Consumer<String> lines) {
+        Log log = new Log(Time.system(), lines);
         ServerSocketChannel inherited = inherited(env);
         KeptOut kept = kept(config, env, log);
         Rehearsal.run(config, inherited == null ? Rehearsal.ROUNDS : Rehearsal.UNHURRIED_ROUNDS);
         Turns turns = new Turns();
         EventLoop loop = loop(turns);
-        Proxy proxy = start(config, loop, inherited, kept);
+        Proxy proxy = start(config, loop, inherited, kept, lines);
         loop.execute(() -> proxy.counting.of(turns));
-        Service service = new Service(proxy, loop, log, kept);
-        Hangup.handle(() -> reload(config, proxy, loop, env));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            service.drain();
-            Runtime.getRuntime().halt(0);
-        }, "drain"));
+        Service service = new Service(proxy, loop, log, kept, lines);
+        Hangup.handle(() -> reload(config, proxy, loop, again, env));
         if (config.console != null) {
             service.console(config);
         } else {
             service.watchAlone();
         }
-        // last: from here on signals are heeded
-        loop.execute(() -> proxy.log("listening on " + proxy.address()));
+        return service;
+    }
+
+    /** Says that all signals are heeded from here on: for who has seen to SIGTERM. */
+    public void listening() {
+        say("listening on " + proxy.address());
     }
 
     static EventLoop loop(Turns turns) {
@@ -76,11 +93,13 @@
     }
 
     /** A proxy on this loop, once it listens: on the socket that was inherited, or on one of its own. */
-    static Proxy start(Config config, EventLoop loop, ServerSocketChannel inherited, KeptOut kept) {
+    static Proxy start(Config config, EventLoop loop, ServerSocketChannel inherited, KeptOut kept,
+            Consumer<String> lines) {
         Time time = Time.system();
         try {
             Proxy proxy = loop.submit(
-                () -> new Proxy(config, loop, time, new Sockets(loop, inherited), new Log(time))).get();
+                () -> new Proxy(config, loop, time, new Sockets(loop, inherited), new Log(time, lines)))
+                .get();
             loop.submit(() -> {
                 proxy.begin();
                 if (kept != null) {
@@ -153,7 +172,7 @@
     private void console(Config config) {
         console = loop(new Turns());
         Time time = Time.system();
-        Log own = new Log(time);
+        Log own = new Log(time, lines);
         Watchdog watchdog = watchdog(time, own, LOOK_MS);
         console.scheduleAtFixedRate(() -> watchdog.look(time.us()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         console.execute(() -> {
@@ -174,7 +193,7 @@
     /** Where there is no console a thread of its own looks, less often: a core may be shared by many. */
     private void watchAlone() {
         Time time = Time.system();
-        Watchdog watchdog = watchdog(time, new Log(time), LOOK_ALONE_MS);
+        Watchdog watchdog = watchdog(time, new Log(time, lines), LOOK_ALONE_MS);
         Thread looking = new Thread(() -> {
             try {
                 while (true) {
@@ -238,10 +257,11 @@
      * What SIGHUP asks for: the file as it is now, or nothing of it. On any thread, and each signal has one
      * of its own: one after the other, so that the last file is the last that is taken.
      */
-    static void reload(Config inUse, Proxy proxy, EventLoop loop, Map<String, String> env) {
+    static void reload(Config inUse, Proxy proxy, EventLoop loop, UnaryOperator<Config> again,
+            Map<String, String> env) {
         synchronized (proxy) {
             try {
-                Config now = inUse.reload(env);
+                Config now = again == null ? inUse.reload(env) : again.apply(inUse);
                 loop.execute(() -> proxy.taken(now));
             } catch (BadInput e) {
                 loop.execute(() -> proxy.turnedDown(e.getMessage()));
@@ -250,7 +270,7 @@
     }
 
     /** Does what SIGTERM asks for and waits for its end, but not for long. */
-    private void drain() {
+    public void drain() {
         try {
             if (!proxy.end().await(DRAIN_MOST_MS)) {
                 log.line("ending with requests open");
--- a/src/main/java/holdproxy/rig/Links.java
+++ b/src/main/java/holdproxy/rig/Links.java
@@ -90,7 +90,7 @@
         return found;
     }
 
-    private static boolean matches(String pattern, String name) {
+    static boolean matches(String pattern, String name) {
         return pattern.equals("*") || pattern.equals(name)
             || pattern.endsWith("*") && name.startsWith(pattern.substring(0, pattern.length() - 1));
     }
--- a/src/main/java/holdproxy/rig/RigCommand.java
+++ b/src/main/java/holdproxy/rig/RigCommand.java
@@ -1,7 +1,10 @@
 package holdproxy.rig;
 
+import holdproxy.command.Commands;
 import holdproxy.input.BadInput;
 import holdproxy.town.Auditors;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,7 +13,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -30,13 +32,8 @@
 
     /** Runs a command line; returns its exit code. */
     public static int run(String[] args) {
-        return new CommandLine(new RigCommand()).setExecutionExceptionHandler((e, line, parsed) -> {
-            if (e instanceof BadInput) {
-                System.err.println("holdproxy: " + e.getMessage());
-                return 2;
-            }
-            throw e;
-        }).execute(args);
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // the JSON lines are the daemon's
+        return Commands.run(new RigCommand(), args);
     }
 
     /** This program with other words: the same Java, the same classes. */
@@ -53,7 +50,7 @@
 
     private static RigTown.Outcome play(Schedule schedule, Path folder) throws Exception {
         try (Keeper keeper = Keeper.start(self("rig", "keep"));
-                RigTown town = new RigTown(schedule, folder, keeper, self("serve"))) {
+                RigTown town = new RigTown(schedule, folder, keeper, RigCommand::self)) {
             return town.play();
         }
     }
@@ -107,6 +104,14 @@
         private long from;
         @Option(names = "--proxies", defaultValue = "5", description = "processes (${DEFAULT-VALUE})")
         private int proxies;
+        @Option(names = "--daemons", description = "start them as daemon instead of serve")
+        private boolean daemons;
+        @Option(names = "--voters", defaultValue = "0", description = "that make a council: 3 or 5")
+        private int voters;
+        @Option(names = "--drills", defaultValue = "0", description = "duties at a guarded resource")
+        private int drills;
+        @Option(names = "--lease-ms", defaultValue = "1000", description = "of those (${DEFAULT-VALUE})")
+        private int leaseMs;
         @Option(names = "--nodes", defaultValue = "6", description = "cache nodes (${DEFAULT-VALUE})")
         private int nodes;
         @Option(names = "--seconds", defaultValue = "10", description = "of each (${DEFAULT-VALUE})")
@@ -120,9 +125,15 @@
                 throw new BadInput(
                     "--seeds, --proxies (to 40) and --nodes (to 100) must be at least 1, --seconds above 1");
             }
+            boolean possible = voters == 0 ? drills == 0 : (voters == 3 || voters == 5) && voters <= proxies;
+            if (!possible || drills < 0 || drills > 20 || leaseMs < 200) {
+                throw new BadInput("--voters are 3 or 5 of the processes, --drills (to 20) need them,"
+                    + " --lease-ms is at least 200");
+            }
             Path folder = folder(out);
             for (long seed = from; seed < from + seeds; seed++) {
-                Schedule schedule = Schedule.drawn(seed, proxies, nodes, seconds);
+                Schedule schedule = Schedule.drawn(seed, daemons || voters > 0,
+                    new Schedule.Fleet(voters, drills, leaseMs), proxies, nodes, seconds);
                 Path each = folder.resolve("seed-" + seed);
                 RigTown.Outcome outcome = play(schedule, each);
                 Files.writeString(each.resolve("schedule.toml"), schedule.toml());
--- a/src/main/java/holdproxy/rig/RigFault.java
+++ b/src/main/java/holdproxy/rig/RigFault.java
@@ -33,19 +33,21 @@
         /** Links refuse new connections for a time. */
         REFUSE,
         /** Every connection of links that is open is reset. */
-        RESET;
+        RESET,
+        /** A daemon is killed, and started again after its time without what its folder held. */
+        LOSE;
 
         String word() {
             return name().toLowerCase(Locale.ROOT);
         }
 
         boolean ofProxy() {
-            return this == KILL || this == HOLD || this == RESTART;
+            return this == KILL || this == HOLD || this == RESTART || this == LOSE;
         }
 
         /** Whether the front or discovery learns of it only later. */
         boolean noticed() {
-            return this == KILL || this == CRASH;
+            return this == KILL || this == CRASH || this == LOSE;
         }
 
         boolean ofLinks() {
--- a/src/main/java/holdproxy/rig/RigTown.java
+++ b/src/main/java/holdproxy/rig/RigTown.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.UncheckedIOException;
@@ -22,7 +23,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -30,7 +33,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * A town of real proxies: each a process of the built program, with the model of the town on real sockets
@@ -44,6 +49,9 @@
     private static final double LAST_TRIES_S = 12;
     /** A start, and an end after SIGTERM, takes a second or two; on a busy machine longer. */
     private static final long PATIENCE_S = 120;
+    /** What is expected is looked for so often. */
+    private static final long LOOK_MS = 100;
+    private static final int MOST_SEEDS = 3;
     private static final int REGISTER_SLOTS = 40;
     private static final long REGISTER_US = 60_000;
     private static final int KEYS_KEPT = 4000;
@@ -57,7 +65,7 @@
     private final Schedule schedule;
     private final Path folder;
     private final Keeper keeper;
-    private final List<String> command;
+    private final Function<String[], List<String>> program;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final LoopTimeline time = new LoopTimeline(loop);
     private final PrintWriter history;
@@ -67,6 +75,8 @@
     private final List<CacheNode> nodes = new ArrayList<>();
     private final Map<InetSocketAddress, String> nodeAt = new HashMap<>();
     private final List<ServeProcess> proxies = new ArrayList<>();
+    /** Where each daemon listens for the others. */
+    private final List<InetSocketAddress> meets = new ArrayList<>();
     /** What each process's end was brought about by, while it is: else it has crashed. */
     private final Map<ServeProcess, String> endsBy = new HashMap<>();
     private final Map<ServeProcess, CompletableFuture<Void>> ready = new HashMap<>();
@@ -76,12 +86,16 @@
     private Clients clients;
     private boolean ending;
 
-    /** {@code command} starts a proxy; {@code folder} takes configurations, logs and the history. */
-    RigTown(Schedule schedule, Path folder, Keeper keeper, List<String> command) throws IOException {
+    /**
+     * {@code program} makes the command line that starts it with these arguments; {@code folder} takes
+     * configurations, logs and the history.
+     */
+    RigTown(Schedule schedule, Path folder, Keeper keeper, Function<String[], List<String>> program)
+            throws IOException {
         this.schedule = schedule;
         this.folder = Files.createDirectories(folder);
         this.keeper = keeper;
-        this.command = command;
+        this.program = program;
         history = new PrintWriter(Files.newBufferedWriter(folder.resolve("history.txt")));
         record = new TownRecord(history::println);
         links = new Links(loop, schedule.seed());
@@ -104,18 +118,38 @@
             after(schedule.seconds() + LAST_TRIES_S, () -> asked.complete(null));
         });
         asked.get();
+        List<Expected> unmet = unmet();
         loop.submit(this::end).get();
         for (ServeProcess p : proxies) {
             over.get(p).get(PATIENCE_S, TimeUnit.SECONDS);
         }
-        return loop.submit(this::judge).get();
+        return loop.submit(() -> judge(unmet)).get();
     }
 
-    private Outcome judge() {
+    /** Awaits what the schedule asks for, and returns what did not come about. */
+    private List<Expected> unmet() throws InterruptedException, ExecutionException {
+        List<Expected> unmet = new ArrayList<>(schedule.expected());
+        long startUs = time.nowUs();
+        while (true) {
+            loop.submit(() -> {
+                List<String> running = proxies.stream().filter(ServeProcess::runs).map(p -> p.name).toList();
+                unmet.removeIf(e -> e.met(running, record.events()));
+            }).get();
+            if (unmet.stream().allMatch(e -> time.nowUs() - startUs > e.withinS() * 1e6)) {
+                return unmet;
+            }
+            Thread.sleep(LOOK_MS);
+        }
+    }
+
+    private Outcome judge(List<Expected> unmet) {
         history.flush();
         List<Event> events = record.events();
         List<Auditors.Broken> broken = Auditors.brokenWhateverTheTime(events);
+        broken.addAll(DutyJudge.broken(events));
         crashes.forEach(c -> broken.add(new Auditors.Broken("no crash", c)));
+        unmet.forEach(e -> broken.add(new Auditors.Broken("progress", "not every one of " + e.by()
+            + " has said: " + e.said())));
         List<Auditors.Broken> late = new ArrayList<>(Auditors.broken(events));
         late.removeAll(broken);
         return new Outcome(new Service(events), broken, late);
@@ -151,13 +185,46 @@
             node.startWarm(schedule.load().keys());
             list(node, "SERVING");
         }
+        if (schedule.fleet().drills() > 0) {
+            new GuardedResource(time, record, links.part(GuardedResource.NAME, names), true)
+                .start(known(3, 0));
+        }
         clients = new Clients(time, List.of(links.part(CLIENTS, List.of())), record,
             stream(schedule.seed(), CLIENTS, 0), schedule.load(),
             ProxyConfig.clubNames(schedule.load().clubs().size()), front, schedule.proxies());
         clients.takenWhenWritten();
+        for (int i = 0; i < schedule.proxies(); i++) {
+            meets.add(links.free());
+        }
         for (int i = 0; i < schedule.proxies(); i++) {
             proxies.add(proxy(i, names.get(i)));
-            start(proxies.get(i));
+        }
+        found();
+        proxies.forEach(this::start);
+    }
+
+    /** Each of the first voters begins its disk, by the command that operators have for it. */
+    private void found() {
+        List<Process> founding = new ArrayList<>();
+        try {
+            for (int i = 0; i < schedule.fleet().voters(); i++) {
+                String file = folder.resolve("proxy-" + i + ".toml").toString();
+                Process each = new ProcessBuilder(program.apply(new String[] {"daemon", "found", file}))
+                    .redirectErrorStream(true).redirectOutput(folder.resolve("found-" + i + ".log").toFile())
+                    .start();
+                keeper.keeps(each.toHandle());
+                founding.add(each);
+            }
+            for (Process each : founding) {
+                if (each.waitFor() != 0) {
+                    throw new IllegalStateException("the council cannot be founded: see found-*.log in "
+                        + folder);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("the council cannot be founded", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -182,19 +249,41 @@
         front.door(links.link(CLIENTS, name, listens), 0);
         ProxyConfig config = new ProxyConfig(i, schedule.proxies(), 0, List.of("room-north"), COLD_FROM,
             COLD_S, schedule.load().clubs(), schedule.nodes() / schedule.load().workMs() * 1000 * QUOTA_PART);
-        Path file = folder.resolve(name + ".json");
+        String platforms = config.json(name, stream(schedule.seed(), "proxy", i).nextLong(),
+            discovery.whole(name), ProxyConfig.ATTEMPTS);
+        String discoveryAt = DiscoveryService.text(links.between(name, DISCOVERY).address());
+        Path file = folder.resolve(name + (schedule.daemons() ? ".toml" : ".json"));
         try {
-            Files.writeString(file, config.json(name, stream(schedule.seed(), "proxy", i).nextLong(),
-                discovery.whole(name), ProxyConfig.ATTEMPTS));
+            Files.writeString(file, !schedule.daemons() ? platforms : DaemonText.of(name,
+                DiscoveryService.text(listens), discoveryAt, folder.resolve(name), peers(i), platforms));
         } catch (IOException e) {
             throw new UncheckedIOException("the configuration of " + name + " cannot be written", e);
         }
-        Map<String, String> env = Map.of("LB_NAME", name, "LB_LISTEN", DiscoveryService.text(listens),
-            "LB_DISCOVERY", DiscoveryService.text(links.between(name, DISCOVERY).address()),
+        Map<String, String> env = schedule.daemons() ? Map.of() : Map.of("LB_NAME", name,
+            "LB_LISTEN", DiscoveryService.text(listens), "LB_DISCOVERY", discoveryAt,
             "LB_CONFIG", file.toString());
+        List<String> command = program.apply(schedule.daemons()
+            ? new String[] {"daemon", "--config", file.toString()} : new String[] {"serve"});
         return new ServeProcess(name, command, env, folder.resolve(name + ".log"), keeper, loop);
     }
 
+    /** Where a daemon is met, and its relay to each of the others. */
+    private DaemonText.PeersText peers(int i) {
+        Map<String, String> routes = new LinkedHashMap<>();
+        for (int other = 0; other < schedule.proxies(); other++) {
+            if (other != i) {
+                String name = "proxy-" + other;
+                routes.put(name, DiscoveryService.text(links.link("proxy-" + i, name, meets.get(other))));
+            }
+        }
+        List<String> seeds = routes.values().stream().limit(MOST_SEEDS).toList();
+        String resource = schedule.fleet().drills() == 0 ? ""
+            : DiscoveryService.text(links.between("proxy-" + i, GuardedResource.NAME).address());
+        return new DaemonText.PeersText(DiscoveryService.text(meets.get(i)), seeds, routes,
+            IntStream.range(0, schedule.fleet().voters()).mapToObj(v -> "proxy-" + v).toList(),
+            schedule.fleet().drills(), schedule.fleet().leaseMs(), resource);
+    }
+
     // ---- processes ----
 
     private void start(ServeProcess p) {
@@ -205,6 +294,8 @@
         over.put(p, new CompletableFuture<>());
         endsBy.remove(p);
         p.start(line -> {
+            DaemonText.said(line).ifPresent(said -> record.add(time.nowUs(), Event.Kind.SAID, p.name,
+                said.clockUs(), said.what()));
             if (line.contains(LISTENING) && !ready.get(p).isDone()) {
                 put(p, "started");
                 front.use(proxies.indexOf(p), true);
@@ -248,7 +339,7 @@
 
     private void happen(RigFault f) {
         switch (f.kind()) {
-            case KILL -> kill(f);
+            case KILL, LOSE -> kill(f);
             case HOLD -> hold(f);
             case RESTART -> restart(f);
             case CRASH -> crash(f);
@@ -271,7 +362,22 @@
             }
         });
         if (f.forS() > 0) {
-            after(f.forS(), () -> gone.thenRun(() -> start(p)));
+            after(f.forS(), () -> gone.thenRun(() -> {
+                if (f.kind() == RigFault.Kind.LOSE) {
+                    forget(p);
+                }
+                start(p);
+            }));
+        }
+    }
+
+    /** Its disk is gone. */
+    private void forget(ServeProcess p) {
+        put(p, "lost its disk");
+        try (Stream<Path> files = Files.walk(folder.resolve(p.name))) {
+            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the folder of " + p.name + " cannot be emptied", e);
         }
     }
 
--- a/src/main/java/holdproxy/rig/Schedule.java
+++ b/src/main/java/holdproxy/rig/Schedule.java
@@ -18,13 +18,27 @@
  * @param name for the report
  * @param seed of all chance: what clients ask, what nodes are like
  * @param seconds for which clients ask
+ * @param daemons whether they are started as {@code daemon}, else as {@code serve}
+ * @param fleet what daemons have in common
  * @param proxies processes, 1 to 40
  * @param nodes cache nodes of the town, 1 to 100
  * @param load what is asked
  * @param faults in any order
+ * @param expected progress that is awaited at the end
  */
-record Schedule(String name, long seed, double seconds, int proxies, int nodes, Load load,
-        List<RigFault> faults) {
+record Schedule(String name, long seed, double seconds, boolean daemons, Fleet fleet, int proxies, int nodes,
+        Load load, List<RigFault> faults, List<Expected> expected) {
+    /**
+     * What daemons have in common.
+     *
+     * @param voters how many of them make the council: none, three or five
+     * @param drills how many duties they hold at a guarded resource
+     * @param leaseMs of those
+     */
+    record Fleet(int voters, int drills, int leaseMs) {
+        static final Fleet NONE = new Fleet(0, 0, 1_000);
+    }
+
     private static final double LONGEST_S = 3600;
     private static final int MOST_MS = 60_000;
     private static final int MOST_BYTES = 1 << 30;
@@ -33,6 +47,7 @@
 
     Schedule {
         faults = List.copyOf(faults);
+        expected = List.copyOf(expected);
     }
 
     static Schedule read(Path file) {
@@ -50,7 +65,16 @@
         long seed = (long) top.number("seed", 1, 0, Long.MAX_VALUE);
         double seconds = top.number("seconds", 15, 1, LONGEST_S);
         TomlPart town = top.part("town");
+        boolean daemons = town.flag("daemons");
         int proxies = town.whole("proxies", 5, 1, 40);
+        Fleet fleet = new Fleet(town.whole("voters", 0, 0, 5), town.whole("drills", 0, 0, 20),
+            town.whole("lease_ms", 1_000, 200, MOST_MS));
+        boolean possible = fleet.voters == 0 ? fleet.drills == 0
+            : daemons && (fleet.voters == 3 || fleet.voters == 5) && fleet.voters <= proxies;
+        if (!possible) {
+            throw town.bad(town.at("voters"), "voters are three or five of the proxies, which are daemons;"
+                + " drills need them");
+        }
         int nodes = town.whole("nodes", 6, 1, 100);
         town.done();
         Load load = Load.read(top.part("load"));
@@ -58,8 +82,14 @@
         for (TomlPart fault : top.parts("fault")) {
             faults.add(fault(fault, proxies, nodes, seconds));
         }
+        List<Expected> expected = new ArrayList<>();
+        for (TomlPart each : top.parts("expect")) {
+            expected.add(new Expected(each.flag("any"), each.text("by", "*"), each.read("said", t -> t),
+                each.number("within_s", 60, 0, LONGEST_S)));
+            each.done();
+        }
         top.done();
-        return new Schedule(name, seed, seconds, proxies, nodes, load, faults);
+        return new Schedule(name, seed, seconds, daemons, fleet, proxies, nodes, load, faults, expected);
     }
 
     private static RigFault fault(TomlPart p, int proxies, int nodes, double seconds) {
@@ -96,10 +126,14 @@
     /** As {@link #read} takes it. */
     String toml() {
         StringBuilder out = new StringBuilder();
-        out.append("name = \"").append(name.replace("\\", "\\\\").replace("\"", "\\\"")).append("\"\n");
+        line(out, "name", quoted(name));
         line(out, "seed", seed);
         line(out, "seconds", seconds);
         out.append("\n[town]\n");
+        line(out, "daemons", daemons);
+        line(out, "voters", fleet.voters);
+        line(out, "drills", fleet.drills);
+        line(out, "lease_ms", fleet.leaseMs);
         line(out, "proxies", proxies);
         line(out, "nodes", nodes);
         out.append("\n[load]\n");
@@ -130,9 +164,20 @@
                 }
             }
         }
+        for (Expected each : expected) {
+            out.append("\n[[expect]]\n");
+            line(out, "any", each.any());
+            line(out, "by", quoted(each.by()));
+            line(out, "said", quoted(each.said()));
+            line(out, "within_s", each.withinS());
+        }
         return out.toString();
     }
 
+    private static String quoted(String text) {
+        return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
+    }
+
     private static String state(LinkState s) {
         return "{cut = " + s.cut() + ", unread = " + s.unread() + ", delay_ms = " + s.delayMs()
             + ", jitter_ms = " + s.jitterMs() + ", growth_ms = " + s.growthMs()
@@ -144,17 +189,22 @@
     }
 
     /** A schedule of which a seed draws the faults, which may overlap. */
-    static Schedule drawn(long seed, int proxies, int nodes, double seconds) {
+    static Schedule drawn(long seed, boolean daemons, Fleet fleet, int proxies, int nodes, double seconds) {
         SplittableRandom random = new SplittableRandom(seed);
         List<RigFault> faults = new ArrayList<>();
         for (int i = 1 + random.nextInt(MOST_FAULTS); i > 0; i--) {
-            faults.add(drawnFault(random, proxies, nodes, random.nextDouble(FIRST_FAULT_S, seconds)));
+            faults.add(drawnFault(random, daemons, proxies, nodes,
+                random.nextDouble(FIRST_FAULT_S, seconds)));
         }
-        return new Schedule("drawn-" + seed, seed, seconds, proxies, nodes, Load.PLAIN, faults);
+        return new Schedule("drawn-" + seed, seed, seconds, daemons, fleet, proxies, nodes, Load.PLAIN,
+            faults, List.of());
     }
 
-    private static RigFault drawnFault(SplittableRandom random, int proxies, int nodes, double atS) {
-        RigFault.Kind kind = RigFault.Kind.values()[random.nextInt(RigFault.Kind.values().length)];
+    private static RigFault drawnFault(SplittableRandom random, boolean daemons, int proxies, int nodes,
+            double atS) {
+        RigFault.Kind[] kinds = RigFault.Kind.values();
+        // the last is of daemons alone
+        RigFault.Kind kind = kinds[random.nextInt(daemons ? kinds.length : kinds.length - 1)];
         double forS = random.nextDouble(0.2, 5);
         if (!kind.ofLinks()) {
             double noticedS = random.nextDouble(0.5, 3);
@@ -163,9 +213,10 @@
         }
         String proxy = "proxy-" + random.nextInt(proxies);
         String node = random.nextBoolean() ? "s-*" : "s-" + random.nextInt(nodes);
-        int way = random.nextInt(4);
+        int way = random.nextInt(daemons ? 6 : 4);
         String from = way == 0 ? "clients" : proxy;
-        String to = way == 0 ? proxy : way == 1 ? "discovery" : node;
+        String to = way == 0 ? proxy : way == 1 ? "discovery" : way == 4 ? "proxy-*"
+            : way == 5 ? GuardedResource.NAME : node;
         LinkState wrong = kind == RigFault.Kind.LINK ? drawnState(random) : LinkState.SOUND;
         int direction = random.nextInt(3);
         return RigFault.links(kind, atS, kind == RigFault.Kind.RESET ? 0 : forS, from, to,
--- a/src/main/java/holdproxy/rig/ServeProcess.java
+++ b/src/main/java/holdproxy/rig/ServeProcess.java
@@ -11,6 +11,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
@@ -55,11 +56,15 @@
             throw new UncheckedIOException("the process " + name + " cannot be started", e);
         }
         Process started = process;
-        Thread reading = new Thread(() -> read(started, line -> loop.execute(() -> said.accept(line))),
-            "output of " + name);
+        CompletableFuture<Void> allRead = new CompletableFuture<>();
+        Thread reading = new Thread(() -> {
+            read(started, line -> loop.execute(() -> said.accept(line)));
+            allRead.complete(null);
+        }, "output of " + name);
         reading.setDaemon(true);
         reading.start();
-        started.onExit().thenAccept(p -> loop.execute(() -> {
+        // its last words come before its end
+        started.onExit().thenCombine(allRead, (p, read) -> p).thenAccept(p -> loop.execute(() -> {
             if (life == mine) {
                 process = null;
                 ended.accept(p.exitValue());
@@ -96,7 +101,8 @@
     /** SIGTERM. */
     void end() {
         if (runs()) {
-            process.destroy();
+            // by its handle: the process itself would also close the pipe that its last words come by
+            process.toHandle().destroy();
         }
     }
 
--- a/src/main/java/holdproxy/toml/TomlPart.java
+++ b/src/main/java/holdproxy/toml/TomlPart.java
@@ -2,9 +2,12 @@
 
 import holdproxy.input.BadInput;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
@@ -62,6 +65,89 @@
         throw bad(at(key), key + " is no text");
     }
 
+    /** A text that has to be stated, as {@code reader} reads it; what that says of it gets the line. */
+    public <T> T read(String key, Function<String, T> reader) {
+        if (value(key) == null) {
+            throw bad(start, key + " is missing from " + what);
+        }
+        try {
+            return reader.apply(text(key, ""));
+        } catch (BadInput e) {
+            throw bad(at(key), e.getMessage());
+        }
+    }
+
+    /** A list of texts, each as {@code reader} can read it; empty where it is not stated. */
+    public List<String> texts(String key, Function<String, ?> reader) {
+        List<String> texts = new ArrayList<>();
+        TomlArray array = array(key);
+        for (int i = 0; array != null && i < array.size(); i++) {
+            if (!(array.get(i) instanceof String text)) {
+                throw bad(array.inputPositionOf(i), key + " in " + what + " has an entry that is no text");
+            }
+            try {
+                reader.apply(text);
+            } catch (BadInput e) {
+                throw bad(array.inputPositionOf(i), e.getMessage());
+            }
+            texts.add(text);
+        }
+        return texts;
+    }
+
+    /** The keys that are stated. */
+    public Set<String> keys() {
+        return table.keySet();
+    }
+
+    /** A table with all that is in it as maps, lists, texts, numbers, truths; empty where there is none. */
+    public Map<String, Object> map(String key) {
+        Object value = value(key);
+        if (value != null && !(value instanceof TomlTable)) {
+            throw bad(at(key), key + " is no table, [" + key + "]");
+        }
+        return value == null ? Map.of() : plain((TomlTable) value);
+    }
+
+    private static Map<String, Object> plain(TomlTable table) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        table.keySet().forEach(k -> map.put(k, plain(table.get(List.of(k)))));
+        return map;
+    }
+
+    private static Object plain(Object value) {
+        if (value instanceof TomlTable inner) {
+            return plain(inner);
+        }
+        if (value instanceof TomlArray array) {
+            List<Object> list = new ArrayList<>();
+            for (int i = 0; i < array.size(); i++) {
+                list.add(plain(array.get(i)));
+            }
+            return list;
+        }
+        return value instanceof Number || value instanceof Boolean ? value : value.toString();
+    }
+
+    /** Where the value of this path stands, keys and numbers of entries joined by dots, or what holds it. */
+    public TomlPosition atPath(String path) {
+        TomlPosition at = start;
+        Object inside = table;
+        for (String step : path.split("\\.")) {
+            if (inside instanceof TomlTable t && t.contains(List.of(step))) {
+                at = t.inputPositionOf(List.of(step));
+                inside = t.get(List.of(step));
+            } else if (inside instanceof TomlArray a && step.matches("\\d{1,6}")
+                    && Integer.parseInt(step) < a.size()) {
+                at = a.inputPositionOf(Integer.parseInt(step));
+                inside = a.get(Integer.parseInt(step));
+            } else {
+                return at;
+            }
+        }
+        return at;
+    }
+
     public double number(String key, double fallback, double least, double most) {
         Object value = value(key);
         if (value == null) {
--- a/src/main/java/holdproxy/town/Event.java
+++ b/src/main/java/holdproxy/town/Event.java
@@ -45,6 +45,10 @@
          * outside, or -1.
          */
         LOST,
+        /** What a process says that it did, by its own clock; id: that in microseconds, detail: what. */
+        SAID,
+        /** A guarded resource was acted upon; id: by whom, detail: duty, token, taken or refused. */
+        ACTED,
         /** Something was done to a host; detail: what. */
         FAULT
     }
--- a/src/test/java/holdproxy/ArchitectureTest.java
+++ b/src/test/java/holdproxy/ArchitectureTest.java
@@ -39,8 +39,48 @@
 
     @Test
     void onlyTownsAndTheLabKnowTheLibrariesThatServiceDoesWithout() {
-        noClasses().that().resideOutsideOfPackages("holdproxy.lab..", "holdproxy.town..", "holdproxy.toml..", "holdproxy.rig..").should().dependOnClassesThat()
+        noClasses().that().resideOutsideOfPackages("holdproxy.lab..", "holdproxy.town..", "holdproxy.toml..", "holdproxy.rig..",
+                "holdproxy.command..", "holdproxy.daemon..").should().dependOnClassesThat()
                 .resideInAnyPackage("picocli..", "org.tomlj..", "org.HdrHistogram..", "org.jfree..").check(MAIN);
+        noClasses().that().resideOutsideOfPackages("holdproxy.daemon..").should().dependOnClassesThat()
+                .resideInAnyPackage("org.slf4j..", "ch.qos..").check(MAIN);
+    }
+
+    @Test
+    void peersKnowNoProxy() {
+        noClasses().that().resideInAPackage("holdproxy.peers").should().dependOnClassesThat(
+                JavaClass.Predicates.resideInAnyPackage("holdproxy..").and(not(
+                        JavaClass.Predicates.resideInAnyPackage("holdproxy.peers", "holdproxy.input")))).check(MAIN);
+    }
+
+    @Test
+    void theRulesOfMembershipReadNoClockAndOpenNoSocket() {
+        classes().that().resideInAPackage("holdproxy.peers").and().haveSimpleNameStartingWith("Member")
+                .or().haveSimpleName("Rumours").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("holdproxy.peers", "java.lang", "java.util", "java.util.function", "java.util.stream",
+                        "java.util.zip", "java.nio.charset").check(MAIN);
+        noClasses().that().resideInAPackage("holdproxy.peers").and().haveSimpleName("Membership").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").check(MAIN);
+    }
+
+    @Test
+    void agreementAndDutiesStandOnWhatIsHandedIn() {
+        classes().that().resideInAPackage("holdproxy.duties").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("holdproxy.duties", "holdproxy.council", "holdproxy.input", "java.lang", "java.util",
+                        "java.util.concurrent", "java.util.function").check(MAIN);
+        noClasses().that().resideInAPackage("holdproxy.council").should().dependOnClassesThat(
+                JavaClass.Predicates.resideInAnyPackage("holdproxy..").and(not(
+                        JavaClass.Predicates.resideInAnyPackage("holdproxy.council", "holdproxy.input")))).check(MAIN);
+        noClasses().that().resideInAnyPackage("holdproxy.duties", "holdproxy.council").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis").check(MAIN);
+        noClasses().that().resideOutsideOfPackage("holdproxy.council").should().dependOnClassesThat()
+                .resideInAPackage("io.microraft..").check(MAIN);
+    }
+
+    @Test
+    void onlyTheCommandLineKnowsTheDaemon() {
+        noClasses().that().resideOutsideOfPackages("holdproxy", "holdproxy.daemon..").should().dependOnClassesThat()
+                .resideInAPackage("holdproxy.daemon..").check(MAIN);
     }
 
     @Test
@@ -55,7 +95,7 @@
     void theRigKnowsOfTheProgramNoMoreThanItsTowns() {
         noClasses().that().resideInAPackage("holdproxy.rig").should().dependOnClassesThat()
                 .resideInAnyPackage("holdproxy.net..", "holdproxy.policy..", "holdproxy.console..", "holdproxy.lab..",
-                        "holdproxy.sim..").check(MAIN);
+                        "holdproxy.sim..", "holdproxy.daemon..").check(MAIN);
     }
 
     @Test
--- a/src/test/java/holdproxy/net/Fixture.java
+++ b/src/test/java/holdproxy/net/Fixture.java
@@ -55,7 +55,7 @@
         Files.writeString(file, json(list(1, true, entries.toArray(String[]::new)), change.apply(SETTINGS), sockets));
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         config = Config.load(env(file, discovery.address()));
-        proxy = Service.start(config, loop, null, null);
+        proxy = Service.start(config, loop, null, null, null);
         Files.delete(file);
     }
 
--- a/src/test/java/holdproxy/net/UpgradeTest.java
+++ b/src/test/java/holdproxy/net/UpgradeTest.java
@@ -75,7 +75,7 @@
     private Proxy process() throws Exception {
         EventLoop loop = Service.loop(new Turns());
         loops.add(loop);
-        return Service.start(Config.load(Fixture.env(file, discovery.address())), loop, socket, null);
+        return Service.start(Config.load(Fixture.env(file, discovery.address())), loop, socket, null, null);
     }
 
     private Peer client() throws Exception {
--- a/src/test/java/holdproxy/rig/RigTest.java
+++ b/src/test/java/holdproxy/rig/RigTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -31,16 +32,16 @@
     Path folder;
 
     private static Schedule schedule(double seconds, int proxies, RigFault... faults) {
-        return new Schedule("test", 1, seconds, proxies, 4, Load.PLAIN, List.of(faults));
+        return new Schedule("test", 1, seconds, false, Schedule.Fleet.NONE, proxies, 4, Load.PLAIN, List.of(faults), List.of());
     }
 
     private static RigFault process(RigFault.Kind kind, double atS, double forS, int target) {
         return RigFault.process(kind, atS, forS, 0.5, target);
     }
 
-    private RigTown.Outcome play(Schedule schedule, List<String> command) throws Exception {
+    private RigTown.Outcome play(Schedule schedule, Function<String[], List<String>> program) throws Exception {
         try (Keeper keeper = Keeper.start(RigCommand.self("rig", "keep"));
-                RigTown town = new RigTown(schedule, folder, keeper, command)) {
+                RigTown town = new RigTown(schedule, folder, keeper, program)) {
             return town.play();
         }
     }
@@ -58,7 +59,7 @@
             RigFault.links(RigFault.Kind.LINK, 1, 3, "proxy-1", "s-1", LinkState.SOUND, LinkState.torn(40)),
             RigFault.links(RigFault.Kind.REFUSE, 3, 1, "proxy-*", "s-2", LinkState.SOUND, LinkState.SOUND),
             RigFault.links(RigFault.Kind.RESET, 4, 0, "clients", "proxy-1", LinkState.SOUND, LinkState.SOUND)),
-            RigCommand.self("serve"));
+            RigCommand::self);
         assertEquals(List.of(), outcome.broken());
         assertTrue(outcome.service().served() > 50, outcome.service().figures().toString());
         String history = history();
@@ -69,11 +70,48 @@
         assertEquals(2, history.lines().filter(l -> l.contains("FAULT proxy-0  started")).count(), "two lives");
     }
 
+    @Test
+    void daemonsKeepTheRulesAndSayWhatTheyDo() throws Exception {
+        Schedule schedule = new Schedule("test", 1, 14, true, new Schedule.Fleet(3, 2, 1_000), 3, 4, Load.PLAIN,
+            List.of(process(RigFault.Kind.KILL, 1, 12, 0), process(RigFault.Kind.RESTART, 2, 0.2, 1)),
+            List.of(new Expected(false, "proxy-2", "peer peer=proxy-1 state=LEFT before=", END_S),
+                new Expected(false, "proxy-2", "peer peer=proxy-0 state=DEAD before=SUSPECT", END_S),
+                new Expected(false, "proxy-2", "peer peer=proxy-0 state=ALIVE before=DEAD", END_S),
+                new Expected(false, "proxy-*", "peer peer=proxy-", END_S),
+                new Expected(true, "*", "duty granted duty=drill-0", END_S),
+                new Expected(true, "*", "duty granted duty=drill-1", END_S),
+                new Expected(false, "proxy-2", "peer peer=proxy-9", 0)));
+        RigTown.Outcome outcome = play(schedule, RigCommand::self);
+        // the last of them cannot come about: it is what shows that the others were looked for
+        assertEquals(List.of(new Auditors.Broken("progress", "not every one of proxy-2 has said: peer peer=proxy-9")),
+            outcome.broken());
+        assertTrue(outcome.service().served() > 20, outcome.service().figures().toString());
+        String history = history();
+        assertEquals(5, history.lines().filter(l -> l.matches("\\d+ SAID proxy-\\d \\d+ started name=.*")).count());
+        assertEquals(4, history.lines().filter(l -> l.matches("\\d+ SAID proxy-\\d \\d+ ended name=.*")).count(),
+            "one of five lives was killed");
+    }
+
+    @Test
+    void twoHoldersAreFound() {
+        assertEquals(List.of(), DutyJudge.broken(List.of(acted("proxy-0", "d 1 taken"), acted("proxy-1", "d 2 taken"),
+            acted("proxy-0", "d 1 refused"), acted("proxy-0", "e 1 taken"))));
+        assertEquals(1, DutyJudge.broken(List.of(acted("proxy-0", "d 1 taken"), acted("proxy-1", "d 2 taken"),
+            acted("proxy-0", "d 1 taken"))).size());
+        assertEquals(1, DutyJudge.broken(List.of(acted("proxy-0", "d 1 taken"), acted("proxy-1", "d 1 taken"))).size());
+        assertEquals(1, DutyJudge.broken(List.of(acted("proxy-0", "d 1 taken"),
+            new Event(2, Event.Kind.SAID, "proxy-1", "5", "duty granted duty=d token=1"))).size());
+    }
+
+    private static Event acted(String who, String what) {
+        return new Event(1, Event.Kind.ACTED, "resource", who, what);
+    }
+
     /** The fault that the judge is to find: a program that ends by itself. */
     @Test
     void aProcessThatEndsByItselfIsACrash() throws Exception {
         List<String> ends = List.of("sh", "-c", "echo 'listening on nothing'; exit 3");
-        RigTown.Outcome outcome = play(schedule(1, 1), ends);
+        RigTown.Outcome outcome = play(schedule(1, 1), words -> ends);
         assertEquals(List.of("no crash"), outcome.broken().stream().map(Auditors.Broken::rule).toList());
         assertTrue(outcome.broken().get(0).what().endsWith("with 3"), outcome.broken().toString());
     }
@@ -148,7 +186,8 @@
     @Test
     void aScheduleIsWrittenAsItIsReadAndMistakesAreNamedWithTheirLine() {
         for (long seed = 1; seed <= 50; seed++) {
-            Schedule drawn = Schedule.drawn(seed, 5, 6, 10);
+            Schedule drawn = Schedule.drawn(seed, seed % 2 == 0,
+                seed % 2 == 0 ? new Schedule.Fleet(5, 1, 1_000) : Schedule.Fleet.NONE, 5, 6, 10);
             assertEquals(drawn, Schedule.read("f", drawn.toml()), "seed " + seed);
         }
         assertBad("[town]\nproxies = 41", "f line 2: proxies in [town] is not a number from 1.0 to 40.0");
@@ -156,7 +195,8 @@
         assertBad("[[fault]]\nat_s = 1", "f line 1: kind in [[fault]] is not one of kill, hold");
         assertBad("[[fault]]\nkind = \"link\"\nat_s = 1\nthere = {cut = 1}", "f line 4: cut in [there] is neither");
         assertBad("[[fault]]\nkind = \"reset\"\nat_s = 1\nproxy = 0", "f line 4: proxy is unknown in [[fault]]");
-        assertFalse(Schedule.drawn(1, 5, 6, 10).equals(Schedule.drawn(2, 5, 6, 10)));
+        assertFalse(Schedule.drawn(1, false, Schedule.Fleet.NONE, 5, 6, 10)
+            .equals(Schedule.drawn(2, false, Schedule.Fleet.NONE, 5, 6, 10)));
     }
 
     private static void assertBad(String text, String why) {
