--- a/src/main/java/holdproxy/daemon/CouncilPart.java
+++ b/src/main/java/holdproxy/daemon/CouncilPart.java
@@ -27,6 +27,9 @@
  */
 final class CouncilPart {
     private static final String DISK = "council";
+    /** Who plans for zones; nobody acts under it yet. */
+    private static final String PLANNER = "planner";
+    private static final int PLANNER_LEASE_MS = 3_000;
     private static final byte OF_COUNCIL = 0;
     private static final byte FREE = 1;
     /** Both are well under the time that an end after SIGTERM has. */
@@ -54,6 +57,7 @@
         peers.receive(Peers.COUNCIL, frame -> part.loop.execute(() -> part.received(frame)));
         part.run(() -> {
             part.council.begin(new FileDisk(disk(file)));
+            part.duties.want(PLANNER, PLANNER_LEASE_MS);
             for (DaemonFile.Drill drill : file.drills()) {
                 part.duties.want(drill.duty(), drill.leaseMs());
                 new Drilling(drill, part.duties, part.loop).begin();
--- a/src/main/java/holdproxy/daemon/Daemon.java
+++ b/src/main/java/holdproxy/daemon/Daemon.java
@@ -101,6 +101,11 @@
             EventLog.event("superseded", "address", by.address(), "life", by.life());
         }
 
+        @Override
+        public void sent(long frames, long bytes, long dropped) {
+            EventLog.event("links", "frames", frames, "bytes", bytes, "dropped", dropped);
+        }
+
         @Override
         public void line(String text) {
             EventLog.line(text);
--- a/src/main/java/holdproxy/lab/CouncilFleet.java
+++ b/src/main/java/holdproxy/lab/CouncilFleet.java
@@ -161,6 +161,15 @@
     /** Starts all, causes faults until half of the time, and runs to its end. */
     void play(double seconds) {
         long endUs = (long) (seconds * 1e6);
+        begin();
+        for (int i = 1 + random.nextInt(MOST_FAULTS); i > 0; i--) {
+            time.after((long) (random.nextDouble(2, seconds * 0.4) * 1e6), () -> fault(endUs / 2));
+        }
+        time.run(endUs);
+    }
+
+    /** Starts all, each of the first voters on a disk that is begun. */
+    void begin() {
         for (String name : names) {
             MemoryDisk disk = disk();
             if (voters.contains(name)) {
@@ -168,10 +177,6 @@
             }
             start(name, disk);
         }
-        for (int i = 1 + random.nextInt(MOST_FAULTS); i > 0; i--) {
-            time.after((long) (random.nextDouble(2, seconds * 0.4) * 1e6), () -> fault(endUs / 2));
-        }
-        time.run(endUs);
     }
 
     long delayUs(String from, String to) {
@@ -232,7 +237,7 @@
         }
     }
 
-    private void kill(String kind, String name, long forUs, MemoryDisk then) {
+    void kill(String kind, String name, long forUs, MemoryDisk then) {
         Life life = lives.get(name);
         if (life.over) {
             return;
@@ -263,13 +268,13 @@
         kill("disk lost", name, forUs, fresh);
     }
 
-    private void stop(String name, long forUs) {
+    void stop(String name, long forUs) {
         kinds.add("stopped");
         Life life = lives.get(name);
         life.wakesUs = Math.max(life.wakesUs, time.nowUs() + forUs);
     }
 
-    private void part(String kind, List<String> some, long forUs, boolean out, boolean in) {
+    void part(String kind, List<String> some, long forUs, boolean out, boolean in) {
         kinds.add(kind);
         links.part(names, some, out, in, 1);
         time.after(forUs, () -> links.part(names, some, out, in, -1));
@@ -324,7 +329,7 @@
         });
     }
 
-    private void restart(String name, long forUs) {
+    void restart(String name, long forUs) {
         Life life = lives.get(name);
         if (life.over) {
             return;
--- a/src/main/java/holdproxy/lab/DutiesCommand.java
+++ b/src/main/java/holdproxy/lab/DutiesCommand.java
@@ -33,6 +33,28 @@
     @Option(names = "--unguarded", description = "the resource does not look at tokens")
     private boolean unguarded;
 
+    @Option(names = "--table", description = "how long a duty is without a holder, by lease and cause")
+    private boolean table;
+
+    /** Floors: a lease is renewed each third of its length, and ends for others after it and the bound. */
+    private void table() {
+        System.out.println("lease  cause    p50 ms    p99 ms  worst ms   wanted ms   floor ms");
+        for (int leaseMs : new int[] {1_000, 3_000, 10_000}) {
+            for (DutiesTrial.Cause cause : DutiesTrial.Cause.values()) {
+                Histogram ms = new Histogram(3);
+                for (long seed = from; seed < from + seeds; seed++) {
+                    ms.recordValue(Math.round(DutiesTrial.withoutHolderMs(seed, leaseMs, cause)));
+                }
+                boolean planned = cause == DutiesTrial.Cause.PLANNED;
+                System.out.printf(Locale.ROOT, "%3d s  %-8s %6d    %6d    %6d   %9s   %s%n", leaseMs / 1000,
+                    cause.name().toLowerCase(Locale.ROOT), ms.getValueAtPercentile(50),
+                    ms.getValueAtPercentile(99), ms.getMaxValue(), planned ? 100 : leaseMs + 1000,
+                    planned ? "two agreements and a message" : Math.round(leaseMs * (1.05 - 1.0 / 3)) + " to "
+                        + Math.round(leaseMs * 1.05));
+            }
+        }
+    }
+
     @Override
     public Integer call() {
         if (seeds < 1 || voters != 3 && voters != 5 || others < 0 || others > MOST_OTHERS
@@ -40,6 +62,10 @@
             throw new BadInput("--seeds must be at least 1, --voters 3 or 5, --others 0 to " + MOST_OTHERS
                 + ", --seconds at least 30");
         }
+        if (table) {
+            table();
+            return 0;
+        }
         Set<Duties.Guard> guards = EnumSet.allOf(Duties.Guard.class);
         if (without != null) {
             guards.remove(without);
--- a/src/main/java/holdproxy/lab/DutiesTrial.java
+++ b/src/main/java/holdproxy/lab/DutiesTrial.java
@@ -5,6 +5,7 @@
 import holdproxy.duties.DutyTable;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,9 @@
     private static final String RESOURCE = "resource";
     private static final int[] LEASES_MS = {1_000, 1_000, 3_000};
     private static final long ACT_EVERY_US = 40_000;
+    /** Where the time without a holder is measured. */
+    private static final long ACT_OFTEN_US = 2_000;
+    private static final double SETTLED_S = 8;
     private static final int LONGEST_ACT_US = 150_000;
     private static final int LONGEST_GAP_US = 20_000;
     /** Without a fault a duty is free for no longer than this, in seconds. */
@@ -58,6 +62,8 @@
     private final CouncilFleet fleet;
     private final Set<Duties.Guard> guards;
     private final boolean checksTokens;
+    private final int[] leasesMs;
+    private final long actEveryUs;
     private final Map<CouncilFleet.Life, Duties> duties = new HashMap<>();
     private final List<Act> acts = new ArrayList<>();
     /** What the resource has accepted: the highest token of each duty. */
@@ -65,7 +71,22 @@
     private final List<Long> freeMs = new ArrayList<>();
     private int refused;
 
-    private DutiesTrial(long seed, int votes, int others, Set<Duties.Guard> guards, boolean checksTokens) {
+    /** What takes a duty from its holder. */
+    enum Cause {
+        /** It is killed. */
+        CRASH,
+        /** It stands still for longer than its lease. */
+        STALL,
+        /** It is cut off from all others. */
+        CUT,
+        /** It is told to end. */
+        PLANNED
+    }
+
+    private DutiesTrial(long seed, int votes, int others, Set<Duties.Guard> guards, boolean checksTokens,
+            int[] leasesMs, long actEveryUs) {
+        this.leasesMs = leasesMs;
+        this.actEveryUs = actEveryUs;
         this.guards = guards;
         this.checksTokens = checksTokens;
         fleet = new CouncilFleet(seed, votes, others, Duties.CLOCK_BOUND, this, false, false);
@@ -74,13 +95,40 @@
     /** A trial with these guards; {@code checksTokens}: whether the resource does. */
     static Outcome play(long seed, int votes, int others, double seconds, Set<Duties.Guard> guards,
             boolean checksTokens) {
-        DutiesTrial trial = new DutiesTrial(seed, votes, others, guards, checksTokens);
+        DutiesTrial trial = new DutiesTrial(seed, votes, others, guards, checksTokens, LEASES_MS,
+            ACT_EVERY_US);
         trial.fleet.play(seconds);
         trial.judge(seconds);
         return new Outcome(trial.fleet.broken, trial.acts.size(), trial.refused, trial.freeMs,
             trial.fleet.kinds);
     }
 
+    /**
+     * Takes one duty from its holder, in a fleet in which nothing else happens; returns the milliseconds from
+     * then to the first act of the next.
+     */
+    static double withoutHolderMs(long seed, int leaseMs, Cause cause) {
+        DutiesTrial trial = new DutiesTrial(seed, 5, 2, EnumSet.allOf(Duties.Guard.class), true,
+            new int[] {leaseMs}, ACT_OFTEN_US);
+        CouncilFleet fleet = trial.fleet;
+        fleet.begin();
+        double leaseS = leaseMs / 1000.0;
+        fleet.time.run((long) ((SETTLED_S + leaseS * (1 + fleet.random.nextDouble())) * 1e6));
+        Act last = trial.acts.get(trial.acts.size() - 1);
+        long causedUs = fleet.time.nowUs();
+        long forUs = (long) (4 * leaseS * 1e6) + 5_000_000;
+        switch (cause) {
+            case CRASH -> fleet.kill("crash", last.name, forUs, fleet.lives.get(last.name).disk);
+            case STALL -> fleet.stop(last.name, forUs);
+            case CUT -> fleet.part("cut", List.of(last.name), forUs, true, true);
+            default -> fleet.restart(last.name, forUs);
+        }
+        fleet.time.run(causedUs + forUs);
+        return trial.acts.stream().filter(a -> a.token > last.token).mapToLong(a -> a.beganUs).min()
+            .orElseThrow(() -> new IllegalStateException("seed " + seed + ": nobody took it")) / 1e3
+            - causedUs / 1e3;
+    }
+
     @Override
     public Ledger ledger(CouncilFleet.Life life) {
         return new DutyTable();
@@ -91,8 +139,8 @@
         Duties own = new Duties(life.name, life.number, life.council, (DutyTable) life.ledger, new Held(life),
             new Random(fleet.random.nextLong()), guards);
         duties.put(life, own);
-        for (int i = 0; i < LEASES_MS.length; i++) {
-            own.want("duty-" + i, LEASES_MS[i]);
+        for (int i = 0; i < leasesMs.length; i++) {
+            own.want("duty-" + i, leasesMs[i]);
             actOn(life, "duty-" + i);
         }
     }
@@ -147,7 +195,7 @@
     // ---- acting ----
 
     private void actOn(CouncilFleet.Life life, String duty) {
-        life.after(ACT_EVERY_US / 2 + fleet.random.nextInt((int) ACT_EVERY_US), () -> {
+        life.after(actEveryUs / 2 + fleet.random.nextInt((int) actEveryUs), () -> {
             Duties own = duties.get(life);
             Duties.Act act = own.begin(duty);
             if (act != null) {
@@ -155,7 +203,7 @@
                 acts.add(seen);
                 // between its look at the lease and the sending it may be stopped
                 life.after(fleet.random.nextInt(LONGEST_GAP_US), () -> send(life, seen));
-                life.after(fleet.random.nextInt(LONGEST_ACT_US), () -> {
+                life.after(fleet.random.nextInt(Math.min(LONGEST_ACT_US, (int) (4 * actEveryUs))), () -> {
                     // past its lease an act is the token's to stop, not the clock's
                     seen.endedUs = Math.max(seen.beganUs,
                         Math.min(fleet.time.nowUs(), life.trueUs(act.untilUs())));
@@ -213,7 +261,7 @@
                 longest.put(each.duty, each);
             }
         }
-        for (int i = 0; i < LEASES_MS.length; i++) {
+        for (int i = 0; i < leasesMs.length; i++) {
             String duty = "duty-" + i;
             if (acts.stream().noneMatch(a -> a.duty.equals(duty) && a.beganUs > (seconds - LAST_S) * 1e6)) {
                 fleet.broken.add("nobody acts under " + duty + " in the last " + LAST_S + " s");
--- a/src/main/java/holdproxy/peers/Peers.java
+++ b/src/main/java/holdproxy/peers/Peers.java
@@ -20,6 +20,7 @@
     /** The kind of frame that membership's messages are. */
     static final int MEMBERSHIP = 1;
     private static final long LEAVE_MS = 200;
+    private static final int COUNT_S = 10;
 
     /**
      * Where a process is met and meets others.
@@ -45,6 +46,9 @@
         /** A later life of this name runs elsewhere: this process is out of the fleet, and serves alone. */
         void superseded(Member by);
 
+        /** What this process has sent to others since its start, and what it could not send. */
+        void sent(long frames, long bytes, long dropped);
+
         /** A line for the log. */
         void line(String text);
     }
@@ -74,6 +78,8 @@
         Peers peers = new Peers(place, addresses, listener);
         try {
             peers.loop.submit(() -> peers.begin(place, life)).get();
+            peers.loop.scheduleAtFixedRate(() -> listener.sent(peers.links.sentFrames(),
+                peers.links.sentBytes(), peers.links.dropped()), COUNT_S, COUNT_S, TimeUnit.SECONDS);
             ChannelFuture bound = peers.links.listen(place.listen()).await();
             if (!bound.isSuccess()) {
                 throw new BadInput("cannot listen for peers on " + place.listen() + ": "
--- a/src/main/java/holdproxy/rig/Links.java
+++ b/src/main/java/holdproxy/rig/Links.java
@@ -26,6 +26,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 /**
@@ -37,6 +38,10 @@
     private static final int FIRST_PORT = 20_000;
     private static final int LAST_PORT = 32_000;
 
+    /** Of all rigs in this process; those of two processes begin at different places. */
+    private static final AtomicInteger NEXT_PORT =
+        new AtomicInteger(Long.hashCode(ProcessHandle.current().pid() * 7919) & 0xffffff);
+
     /** Who calls, and who is called. */
     record Pair(String from, String to) {
     }
@@ -45,20 +50,16 @@
     private final long seed;
     private final Map<Pair, Relay> relays = new LinkedHashMap<>();
     private final Map<Integer, String> callers = new HashMap<>();
-    private int nextPort;
-
     Links(EventLoop loop, long seed) {
         this.loop = loop;
         this.seed = seed;
-        // two rigs on one machine begin at different places
-        nextPort = FIRST_PORT + Math.floorMod(Long.hashCode(ProcessHandle.current().pid() * 7919), 11_000);
     }
 
     /** A loopback address at which nobody listens. */
     InetSocketAddress free() {
         for (int tries = 0; tries < LAST_PORT - FIRST_PORT; tries++) {
-            nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
-            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), nextPort);
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), LAST_PORT - FIRST_PORT);
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             try (ServerSocket probe = new ServerSocket()) {
                 probe.setReuseAddress(true);
                 probe.bind(address);
--- a/src/main/java/holdproxy/rig/RigCommand.java
+++ b/src/main/java/holdproxy/rig/RigCommand.java
@@ -112,6 +112,8 @@
         private int drills;
         @Option(names = "--lease-ms", defaultValue = "1000", description = "of those (${DEFAULT-VALUE})")
         private int leaseMs;
+        @Option(names = "--quiet", description = "no client asks for anything")
+        private boolean quiet;
         @Option(names = "--nodes", defaultValue = "6", description = "cache nodes (${DEFAULT-VALUE})")
         private int nodes;
         @Option(names = "--seconds", defaultValue = "10", description = "of each (${DEFAULT-VALUE})")
@@ -133,7 +135,7 @@
             Path folder = folder(out);
             for (long seed = from; seed < from + seeds; seed++) {
                 Schedule schedule = Schedule.drawn(seed, daemons || voters > 0,
-                    new Schedule.Fleet(voters, drills, leaseMs), proxies, nodes, seconds);
+                    new Schedule.Fleet(voters, drills, leaseMs, quiet), proxies, nodes, seconds);
                 Path each = folder.resolve("seed-" + seed);
                 RigTown.Outcome outcome = play(schedule, each);
                 Files.writeString(each.resolve("schedule.toml"), schedule.toml());
--- a/src/main/java/holdproxy/rig/RigTown.java
+++ b/src/main/java/holdproxy/rig/RigTown.java
@@ -85,6 +85,8 @@
     private DiscoveryService discovery;
     private Clients clients;
     private boolean ending;
+    /** When all listened, and faults began. */
+    private long startUs;
 
     /**
      * {@code program} makes the command line that starts it with these arguments; {@code folder} takes
@@ -113,9 +115,13 @@
         }
         CompletableFuture<Void> asked = new CompletableFuture<>();
         loop.execute(() -> {
+            startUs = time.nowUs();
             schedule.faults().forEach(f -> after(f.atS(), () -> happen(f)));
-            clients.ask(time.nowUs() + (long) (schedule.seconds() * 1e6));
-            after(schedule.seconds() + LAST_TRIES_S, () -> asked.complete(null));
+            if (!schedule.fleet().quiet()) {
+                clients.ask(time.nowUs() + (long) (schedule.seconds() * 1e6));
+            }
+            after(schedule.seconds() + (schedule.fleet().quiet() ? 0 : LAST_TRIES_S),
+                () -> asked.complete(null));
         });
         asked.get();
         List<Expected> unmet = unmet();
@@ -129,13 +135,13 @@
     /** Awaits what the schedule asks for, and returns what did not come about. */
     private List<Expected> unmet() throws InterruptedException, ExecutionException {
         List<Expected> unmet = new ArrayList<>(schedule.expected());
-        long startUs = time.nowUs();
+        long fromUs = time.nowUs();
         while (true) {
             loop.submit(() -> {
                 List<String> running = proxies.stream().filter(ServeProcess::runs).map(p -> p.name).toList();
-                unmet.removeIf(e -> e.met(running, record.events()));
+                unmet.removeIf(e -> e.met(running, record.events(), startUs));
             }).get();
-            if (unmet.stream().allMatch(e -> time.nowUs() - startUs > e.withinS() * 1e6)) {
+            if (unmet.stream().allMatch(e -> time.nowUs() - fromUs > e.withinS() * 1e6)) {
                 return unmet;
             }
             Thread.sleep(LOOK_MS);
--- a/src/main/java/holdproxy/rig/Schedule.java
+++ b/src/main/java/holdproxy/rig/Schedule.java
@@ -34,9 +34,10 @@
      * @param voters how many of them make the council: none, three or five
      * @param drills how many duties they hold at a guarded resource
      * @param leaseMs of those
+     * @param quiet no client asks for anything
      */
-    record Fleet(int voters, int drills, int leaseMs) {
-        static final Fleet NONE = new Fleet(0, 0, 1_000);
+    record Fleet(int voters, int drills, int leaseMs, boolean quiet) {
+        static final Fleet NONE = new Fleet(0, 0, 1_000, false);
     }
 
     private static final double LONGEST_S = 3600;
@@ -68,7 +69,7 @@
         boolean daemons = town.flag("daemons");
         int proxies = town.whole("proxies", 5, 1, 40);
         Fleet fleet = new Fleet(town.whole("voters", 0, 0, 5), town.whole("drills", 0, 0, 20),
-            town.whole("lease_ms", 1_000, 200, MOST_MS));
+            town.whole("lease_ms", 1_000, 200, MOST_MS), town.flag("quiet"));
         boolean possible = fleet.voters == 0 ? fleet.drills == 0
             : daemons && (fleet.voters == 3 || fleet.voters == 5) && fleet.voters <= proxies;
         if (!possible) {
@@ -85,7 +86,7 @@
         List<Expected> expected = new ArrayList<>();
         for (TomlPart each : top.parts("expect")) {
             expected.add(new Expected(each.flag("any"), each.text("by", "*"), each.read("said", t -> t),
-                each.number("within_s", 60, 0, LONGEST_S)));
+                each.number("after_s", 0, 0, seconds), each.number("within_s", 60, 0, LONGEST_S)));
             each.done();
         }
         top.done();
@@ -134,6 +135,7 @@
         line(out, "voters", fleet.voters);
         line(out, "drills", fleet.drills);
         line(out, "lease_ms", fleet.leaseMs);
+        line(out, "quiet", fleet.quiet);
         line(out, "proxies", proxies);
         line(out, "nodes", nodes);
         out.append("\n[load]\n");
@@ -169,6 +171,7 @@
             line(out, "any", each.any());
             line(out, "by", quoted(each.by()));
             line(out, "said", quoted(each.said()));
+            line(out, "after_s", each.afterS());
             line(out, "within_s", each.withinS());
         }
         return out.toString();
--- /dev/null
+++ b/src/test/java/holdproxy/rig/DutySchedulesTest.java
@@ -0,0 +1,69 @@
+package holdproxy.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.town.Auditors;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes with a council and duties, by the twelve schedules that are kept: one holder, and progress. */
+class DutySchedulesTest {
+    private static final int AT_ONCE = 4;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void aDutyHasOneHolderWhateverTheSchedule() throws Exception {
+        List<Path> files;
+        try (Stream<Path> all = Files.list(Path.of("rig/duties"))) {
+            files = all.sorted().toList();
+        }
+        assertEquals(12, files.size());
+        ExecutorService players = Executors.newFixedThreadPool(AT_ONCE);
+        Map<String, List<Auditors.Broken>> broken = new TreeMap<>();
+        int acts = 0;
+        try {
+            List<Future<RigTown.Outcome>> plays = new ArrayList<>();
+            files.forEach(f -> plays.add(players.submit(() -> play(f))));
+            for (int i = 0; i < files.size(); i++) {
+                String name = files.get(i).getFileName().toString();
+                List<Auditors.Broken> found = plays.get(i).get().broken();
+                if (!found.isEmpty()) {
+                    broken.put(name, found);
+                }
+                acts += acts(name);
+            }
+        } finally {
+            players.shutdownNow();
+        }
+        assertEquals(Map.of(), broken);
+        assertTrue(acts > 1_000, acts + " acts");
+    }
+
+    private RigTown.Outcome play(Path file) throws Exception {
+        try (Keeper keeper = Keeper.start(RigCommand.self("rig", "keep"));
+                RigTown town = new RigTown(Schedule.read(file), folder.resolve(file.getFileName()), keeper,
+                    RigCommand::self)) {
+            return town.play();
+        }
+    }
+
+    private int acts(String name) throws IOException {
+        try (Stream<String> lines = Files.lines(folder.resolve(name).resolve("history.txt"))) {
+            return (int) lines.filter(l -> l.contains(" ACTED ") && l.endsWith(" taken")).count();
+        }
+    }
+}
--- a/src/test/java/holdproxy/rig/RigTest.java
+++ b/src/test/java/holdproxy/rig/RigTest.java
@@ -72,15 +72,15 @@
 
     @Test
     void daemonsKeepTheRulesAndSayWhatTheyDo() throws Exception {
-        Schedule schedule = new Schedule("test", 1, 14, true, new Schedule.Fleet(3, 2, 1_000), 3, 4, Load.PLAIN,
+        Schedule schedule = new Schedule("test", 1, 14, true, new Schedule.Fleet(3, 2, 1_000, false), 3, 4, Load.PLAIN,
             List.of(process(RigFault.Kind.KILL, 1, 12, 0), process(RigFault.Kind.RESTART, 2, 0.2, 1)),
-            List.of(new Expected(false, "proxy-2", "peer peer=proxy-1 state=LEFT before=", END_S),
-                new Expected(false, "proxy-2", "peer peer=proxy-0 state=DEAD before=SUSPECT", END_S),
-                new Expected(false, "proxy-2", "peer peer=proxy-0 state=ALIVE before=DEAD", END_S),
-                new Expected(false, "proxy-*", "peer peer=proxy-", END_S),
-                new Expected(true, "*", "duty granted duty=drill-0", END_S),
-                new Expected(true, "*", "duty granted duty=drill-1", END_S),
-                new Expected(false, "proxy-2", "peer peer=proxy-9", 0)));
+            List.of(new Expected(false, "proxy-2", "peer peer=proxy-1 state=LEFT before=", 0, END_S),
+                new Expected(false, "proxy-2", "peer peer=proxy-0 state=DEAD before=SUSPECT", 0, END_S),
+                new Expected(false, "proxy-2", "peer peer=proxy-0 state=ALIVE before=DEAD", 0, END_S),
+                new Expected(false, "proxy-*", "peer peer=proxy-", 0, END_S),
+                new Expected(true, "*", "duty granted duty=drill-0", 0, END_S),
+                new Expected(true, "*", "duty granted duty=drill-1", 0, END_S),
+                new Expected(false, "proxy-2", "peer peer=proxy-9", 0, 0)));
         RigTown.Outcome outcome = play(schedule, RigCommand::self);
         // the last of them cannot come about: it is what shows that the others were looked for
         assertEquals(List.of(new Auditors.Broken("progress", "not every one of proxy-2 has said: peer peer=proxy-9")),
@@ -187,7 +187,7 @@
     void aScheduleIsWrittenAsItIsReadAndMistakesAreNamedWithTheirLine() {
         for (long seed = 1; seed <= 50; seed++) {
             Schedule drawn = Schedule.drawn(seed, seed % 2 == 0,
-                seed % 2 == 0 ? new Schedule.Fleet(5, 1, 1_000) : Schedule.Fleet.NONE, 5, 6, 10);
+                seed % 2 == 0 ? new Schedule.Fleet(5, 1, 1_000, true) : Schedule.Fleet.NONE, 5, 6, 10);
             assertEquals(drawn, Schedule.read("f", drawn.toml()), "seed " + seed);
         }
         assertBad("[town]\nproxies = 41", "f line 2: proxies in [town] is not a number from 1.0 to 40.0");
