Hand-overs take a step and not a lease: leadership first, then duties

Cause: one planned hand-over in six waited for the lease. The hand-over said that it was done before the release was agreed, and a holder that led the council gave up its leadership and its vote meanwhile, so that the release was lost.

Change: a hand-over is done when its release is agreed; leadership is given to another first; a voter that does not lead is asked again after 30 ms, not 75.

--- a/src/main/java/holdproxy/council/Council.java
+++ b/src/main/java/holdproxy/council/Council.java
@@ -48,6 +48,8 @@
     private static final int MOST_ASKED = 1_000;
     /** One voter is waited for so long before the next is asked. */
     private static final long ASK_US = 300_000;
+    /** And after it has said that it does not lead, and knows nobody who does. */
+    private static final long AGAIN_US = 30_000;
     private static final long ADMIT_US = 500_000;
     /** Four times as long as a leader may be silent, seen so often in turn. */
     private static final long STUCK_US = 4_000_000;
@@ -238,25 +240,36 @@
         return seats;
     }
 
-    /** Gives leadership, if it has it, to another, and its vote up for this life; completes then. */
-    public CompletableFuture<Void> end() {
-        ended = true;
-        if (!votes()) {
-            return CompletableFuture.completedFuture(null);
-        }
+    /**
+     * Gives leadership, if it has it, to another; completes then. Before it hands its duties over: those who
+     * ask for them then find a leader that stays.
+     */
+    public CompletableFuture<Void> stepDown() {
         CompletableFuture<Void> over = new CompletableFuture<>();
+        if (!votes() || !leading) {
+            over.complete(null);
+            return over;
+        }
         Optional<RaftEndpoint> other = node.getCommittedMembers().getVotingMembers().stream()
             .filter(m -> !m.equals(seat)).findFirst();
-        if (leading && other.isPresent()) {
-            node.transferLeadership(other.get()).whenComplete((done, why) -> stop(over));
+        if (other.isPresent()) {
+            node.transferLeadership(other.get()).whenComplete((done, why) -> over.complete(null));
         } else {
-            stop(over);
+            over.complete(null);
         }
         return over;
     }
 
-    private void stop(CompletableFuture<Void> over) {
-        node.terminate().whenComplete((done, why) -> over.complete(null));
+    /** Gives its vote up for this life; completes then. */
+    public CompletableFuture<Void> end() {
+        ended = true;
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        if (votes()) {
+            node.terminate().whenComplete((done, why) -> over.complete(null));
+        } else {
+            over.complete(null);
+        }
+        return over;
     }
 
     // ---- asking ----
@@ -291,7 +304,7 @@
                     answer.complete(value);
                 } else if (!over[0]) {
                     over[0] = true;
-                    host.after(ASK_US / 4, () -> ask(operation, endUs, answer));
+                    host.after(AGAIN_US, () -> ask(operation, endUs, answer));
                 }
             });
             // a leader without a majority never hears of it
@@ -375,7 +388,7 @@
             mine.answer.complete(value);
         } else {
             // nobody may lead for a moment: not at once again
-            host.after(whoLeads.isEmpty() || whoLeads.equals(mine.to) ? ASK_US / 4 : 0,
+            host.after(whoLeads.isEmpty() || whoLeads.equals(mine.to) ? AGAIN_US : 0,
                 () -> ask(mine.operation, mine.endUs, mine.answer));
         }
     }
--- a/src/main/java/holdproxy/daemon/CouncilPart.java
+++ b/src/main/java/holdproxy/daemon/CouncilPart.java
@@ -96,10 +96,11 @@
         }
     }
 
-    /** What this process holds is handed over, then leadership: in time for the others not to wait for it. */
+    /** Leadership, then what this process holds, goes to others, in time for them not to wait for it. */
     void end() {
         CompletableFuture<Void> handed = new CompletableFuture<>();
-        loop.execute(() -> duties.handOver().whenComplete((done, failed) -> handed.complete(null)));
+        loop.execute(() -> council.stepDown().whenComplete((led, why) ->
+            duties.handOver().whenComplete((done, failed) -> handed.complete(null))));
         await(handed, HAND_OVER_MS, "the duties are not handed over in time");
         CompletableFuture<Void> over = new CompletableFuture<>();
         loop.execute(() -> council.end().whenComplete((done, failed) -> over.complete(null)));
--- a/src/main/java/holdproxy/duties/Duties.java
+++ b/src/main/java/holdproxy/duties/Duties.java
@@ -189,7 +189,8 @@
             return;
         }
         long token = own.token;
-        end(own, "handed over");
+        own.holds = false;
+        host.ended(own.duty, token, "handed over");
         council.propose(DutyTable.release(own.duty, token), HAND_OVER_US)
             .whenComplete((answer, failed) -> own.giving.complete(null));
     }
--- a/src/main/java/holdproxy/lab/CouncilTrial.java
+++ b/src/main/java/holdproxy/lab/CouncilTrial.java
@@ -142,7 +142,7 @@
 
     @Override
     public void ending(CouncilFleet.Life life, Runnable then) {
-        then.run();
+        life.council.stepDown().whenComplete((done, why) -> then.run());
     }
 
     @Override
--- a/src/main/java/holdproxy/lab/DutiesTrial.java
+++ b/src/main/java/holdproxy/lab/DutiesTrial.java
@@ -147,7 +147,8 @@
 
     @Override
     public void ending(CouncilFleet.Life life, Runnable then) {
-        duties.get(life).handOver().whenComplete((done, failed) -> then.run());
+        life.council.stepDown().whenComplete((led, why) ->
+            duties.get(life).handOver().whenComplete((done, failed) -> then.run()));
     }
 
     @Override
