--- a/src/main/java/holdproxy/council/Council.java
+++ b/src/main/java/holdproxy/council/Council.java
@@ -50,6 +50,7 @@
     private static final long ASK_US = 300_000;
     /** And after it has said that it does not lead, and knows nobody who does. */
     private static final long AGAIN_US = 30_000;
+    private static final long STEP_DOWN_US = 500_000;
     private static final long ADMIT_US = 500_000;
     /** Four times as long as a leader may be silent, seen so often in turn. */
     private static final long STUCK_US = 4_000_000;
@@ -70,6 +71,9 @@
         /** This process leads the council now, or no longer. */
         void leads(boolean now);
 
+        /** A task of the library's has failed; the council goes on. */
+        void failed(RuntimeException failure);
+
         /** This process is out of the vote: why. It goes on asking. */
         void out(String why);
     }
@@ -254,6 +258,7 @@
             .filter(m -> !m.equals(seat)).findFirst();
         if (other.isPresent()) {
             node.transferLeadership(other.get()).whenComplete((done, why) -> over.complete(null));
+            host.after(STEP_DOWN_US, () -> over.complete(null)); // whom it was to go to may be gone
         } else {
             over.complete(null);
         }
--- a/src/main/java/holdproxy/council/Pace.java
+++ b/src/main/java/holdproxy/council/Pace.java
@@ -43,16 +43,27 @@
 
     @Override
     public void execute(Runnable task) {
-        host.after(0, task);
+        host.after(0, guarded(task));
     }
 
     @Override
     public void submit(Runnable task) {
-        host.after(0, task);
+        host.after(0, guarded(task));
+    }
+
+    /** A task of the library's that fails is told of, and ends nothing else. */
+    private Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                host.failed(e);
+            }
+        };
     }
 
     @Override
     public void schedule(Runnable task, long delay, TimeUnit unit) {
-        host.after(unit.toMicros(delay) / FASTER, task);
+        host.after(unit.toMicros(delay) / FASTER, guarded(task));
     }
 }
--- a/src/main/java/holdproxy/daemon/CouncilPart.java
+++ b/src/main/java/holdproxy/daemon/CouncilPart.java
@@ -151,6 +151,11 @@
             EventLog.event(now ? "leads" : "leads no longer", "name", name);
         }
 
+        @Override
+        public void failed(RuntimeException failure) {
+            EventLog.line("a task of the council has failed: " + failure);
+        }
+
         @Override
         public void out(String why) {
             EventLog.event("out of the vote", "name", name, "why", why);
--- a/src/main/java/holdproxy/duties/Duties.java
+++ b/src/main/java/holdproxy/duties/Duties.java
@@ -174,11 +174,13 @@
         for (Own own : wanted.values()) {
             if (own.holds && own.giving == null) {
                 own.giving = new CompletableFuture<>();
-                all.add(own.giving);
                 if (own.acts == 0 || !guards.contains(Guard.LAST_ACT)) {
                     giveBack(own);
                 }
             }
+            if (own.giving != null) {
+                all.add(own.giving);
+            }
         }
         return CompletableFuture.allOf(all.toArray(new CompletableFuture<?>[0]));
     }
@@ -237,6 +239,11 @@
     }
 
     private void held(Own own, long token, long askedUs) {
+        if (ending) {
+            // it was asked for before the end, and is of no use any more
+            council.propose(DutyTable.release(own.duty, token), HAND_OVER_US);
+            return;
+        }
         double part = guards.contains(Guard.BOUND) ? 1 - CLOCK_BOUND : 1;
         own.token = token;
         own.seen = token;
--- a/src/main/java/holdproxy/lab/CouncilFleet.java
+++ b/src/main/java/holdproxy/lab/CouncilFleet.java
@@ -26,6 +26,8 @@
     private static final long FORCE_US = 500;
     private static final int MOST_FAULTS = 7;
     private static final long LOOK_US = 100_000;
+    private static final long LAG_US = 1_000_000;
+    private static final long LATE_US = 270_000;
 
     /** What a life is for. */
     interface Purpose {
@@ -38,6 +40,11 @@
         /** It is told to end; {@code then} is to be run when it may. */
         void ending(Life life, Runnable then);
 
+        /** Whom faults are most telling of now; empty: nobody in particular. */
+        default String centre() {
+            return "";
+        }
+
         /** It leads from now on, or no longer. */
         void leads(Life life, boolean now);
     }
@@ -119,6 +126,11 @@
             purpose.leads(this, now);
         }
 
+        @Override
+        public void failed(RuntimeException failure) {
+            kinds.add("a task of the library failed");
+        }
+
         @Override
         public void out(String why) {
             isOut = true;
@@ -180,7 +192,7 @@
     }
 
     long delayUs(String from, String to) {
-        return LEAST_DELAY_US + FORCE_US
+        return LEAST_DELAY_US + FORCE_US + links.lateUs(from, to)
             + (long) (random.nextDouble() * (MOST_DELAY_US + links.slowUs(from, to)));
     }
 
@@ -205,6 +217,27 @@
 
     // ---- faults ----
 
+    /** What can be done to those that do not vote as well. */
+    private static final Set<Integer> OF_ALL = Set.of(0, 2, 3, 4, 5, 7, 9);
+
+    /**
+     * One voter is behind, and when it is back the leader goes and another voter loses its disk: what only
+     * these two knew must not be taken for never agreed.
+     */
+    private void forgotten(String leader, long forUs) {
+        List<String> others = voters.stream().filter(v -> !v.equals(leader)).toList();
+        if (!allVote() || others.size() != 2) {
+            return;
+        }
+        String behind = others.get(0);
+        disksLostUntilUs = time.nowUs() + 2 * LAG_US;
+        part("behind", List.of(behind), LAG_US, true, true);
+        time.after(LAG_US, () -> {
+            kill("killed", leader, Math.max(forUs, LAG_US), lives.get(leader).disk);
+            loseDisk(others.get(1), LOOK_US, true);
+        });
+    }
+
     /** Operators give a damaged voter a new disk, as soon as they find it running. */
     private void replace(String name) {
         if (lives.get(name).over) {
@@ -217,22 +250,29 @@
     private void fault(long endUs) {
         long forUs = Math.min(endUs - time.nowUs(), 200_000 + (long) (random.nextDouble() * 12e6));
         String one = voters.get(random.nextInt(voters.size()));
-        // leaders are what faults are most telling of
-        if (random.nextBoolean() && !leaders.isEmpty()) {
-            one = leaders.get(leaders.size() - 1);
+        String leader = leaders.isEmpty() ? one : leaders.get(leaders.size() - 1);
+        String centre = purpose.centre().isEmpty() ? leader : purpose.centre();
+        int whom = random.nextInt(3);
+        int what = random.nextInt(13);
+        if (whom == 0) {
+            one = leader;
+        } else if (whom == 1 && (voters.contains(centre) || OF_ALL.contains(what))) {
+            one = centre;
         }
-        String other = names.get(random.nextInt(names.size()));
-        switch (random.nextInt(11)) {
+        String other = random.nextBoolean() ? centre : names.get(random.nextInt(names.size()));
+        switch (what) {
             case 0 -> kill("killed", one, forUs, lives.get(one).disk);
-            case 1 -> loseDisk(one, forUs);
+            case 1 -> loseDisk(one, forUs, false);
             case 2 -> stop(one, forUs);
             case 3 -> part("cut off", List.of(one), forUs, true, true);
             case 4 -> part("hears nobody", List.of(one), forUs, false, true);
             case 5 -> part("nobody hears it", List.of(one), forUs, true, false);
             case 6 -> split(forUs);
-            case 7 -> slow(one, other, forUs);
+            case 7 -> slow(random.nextBoolean() ? leader : one, other, forUs);
             case 8 -> fullDisk(one, forUs);
             case 9 -> restart(one, forUs);
+            case 10 -> forgotten(leader, forUs);
+            case 11 -> lateAnswers(leader, centre, forUs);
             default -> flip(one, forUs);
         }
     }
@@ -256,8 +296,20 @@
             l -> !l.over && l.council.votes() && l.council.seats().equals(seats));
     }
 
-    private void loseDisk(String name, long forUs) {
-        if (!allVote()) {
+    /** Answers come just before they are given up, and then none. */
+    private void lateAnswers(String from, String to, long forUs) {
+        if (from.equals(to)) {
+            return;
+        }
+        kinds.add("late answers");
+        links.late(from, to, LATE_US);
+        long cutUs = (long) (random.nextDouble() * forUs / 2);
+        time.after(cutUs, () -> part("cut off", List.of(to), forUs / 2, true, true));
+        time.after(forUs, () -> links.late(from, to, -LATE_US));
+    }
+
+    private void loseDisk(String name, long forUs, boolean anyhow) {
+        if (!anyhow && !allVote()) {
             return;
         }
         disksLostUntilUs = time.nowUs() + forUs;
@@ -299,12 +351,7 @@
 
     private void slow(String one, String other, long forUs) {
         kinds.add("slow");
-        // so slow that answers are given up; or just not, and then nothing comes any more
-        boolean justNot = random.nextBoolean();
-        double us = justNot ? random.nextDouble(2e5, 3e5) : random.nextDouble(1e5, 3e6);
-        if (justNot) {
-            time.after(forUs / 2, () -> part("cut off", List.of(other), forUs / 2, true, true));
-        }
+        double us = random.nextDouble(1e5, 3e6);
         links.slow(one, other, us);
         time.after(forUs, () -> links.slow(one, other, -us));
     }
--- a/src/main/java/holdproxy/lab/DutiesTrial.java
+++ b/src/main/java/holdproxy/lab/DutiesTrial.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -69,6 +70,7 @@
     /** What the resource has accepted: the highest token of each duty. */
     private final Map<String, Long> highest = new TreeMap<>();
     private final List<Long> freeMs = new ArrayList<>();
+    private final Map<CouncilFleet.Life, Set<Duties.Act>> underWay = new HashMap<>();
     private int refused;
 
     /** What takes a duty from its holder. */
@@ -148,7 +150,19 @@
     @Override
     public void ending(CouncilFleet.Life life, Runnable then) {
         life.council.stepDown().whenComplete((led, why) ->
-            duties.get(life).handOver().whenComplete((done, failed) -> then.run()));
+            duties.get(life).handOver().whenComplete((done, failed) -> {
+                // one whose lease has run out meanwhile has nothing to hand over
+                if (underWay.getOrDefault(life, Set.of()).stream().anyMatch(
+                        a -> a.untilUs() > life.nowUs())) {
+                    fleet.broken.add(life.name + " has handed over with an act under way");
+                }
+                then.run();
+            }));
+    }
+
+    @Override
+    public String centre() {
+        return acts.isEmpty() ? "" : acts.get(acts.size() - 1).name;
     }
 
     @Override
@@ -200,6 +214,7 @@
             Duties own = duties.get(life);
             Duties.Act act = own.begin(duty);
             if (act != null) {
+                underWay.computeIfAbsent(life, l -> new HashSet<>()).add(act);
                 Act seen = new Act(duty, life.name, act.token(), fleet.time.nowUs());
                 acts.add(seen);
                 // between its look at the lease and the sending it may be stopped
@@ -208,6 +223,7 @@
                     // past its lease an act is the token's to stop, not the clock's
                     seen.endedUs = Math.max(seen.beganUs,
                         Math.min(fleet.time.nowUs(), life.trueUs(act.untilUs())));
+                    underWay.get(life).remove(act);
                     act.close();
                 });
             }
--- a/src/main/java/holdproxy/lab/TrialLinks.java
+++ b/src/main/java/holdproxy/lab/TrialLinks.java
@@ -12,6 +12,7 @@
 
     private final Map<Pair, Integer> cuts = new HashMap<>();
     private final Map<Pair, Double> slow = new HashMap<>();
+    private final Map<Pair, Long> late = new HashMap<>();
     private final Map<Pair, Double> lost = new HashMap<>();
 
     boolean cut(String from, String to) {
@@ -22,6 +23,16 @@
         return slow.getOrDefault(new Pair(from, to), 0.0);
     }
 
+    /** What every message takes more. */
+    long lateUs(String from, String to) {
+        return late.getOrDefault(new Pair(from, to), 0L);
+    }
+
+    /** One way, so much more of it. */
+    void late(String from, String to, long us) {
+        late.merge(new Pair(from, to), us, Long::sum);
+    }
+
     /** Part of the messages that do not arrive. */
     double lost(String from, String to) {
         return lost.getOrDefault(new Pair(from, to), 0.0);
