Who asks for a duty that another holds is answered without the log

Cause: in a fleet of forty real daemons the leader of the council sent 30 kB a second when nothing happened: each refused question of the others for a duty was an entry of the log. Trials with it showed that a follower can wait for good for a leader that itself asks for votes.

Change: the leader answers such a question from its table; a voter counts as heard from its leader what only a leader sends.

--- a/src/main/java/holdproxy/council/Council.java
+++ b/src/main/java/holdproxy/council/Council.java
@@ -9,6 +9,8 @@
 import io.microraft.RaftNodeStatus;
 import io.microraft.RaftRole;
 import io.microraft.lifecycle.RaftNodeLifecycleAware;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.InstallSnapshotRequest;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.report.RaftNodeReport;
 import io.microraft.report.RaftNodeReportListener;
@@ -344,6 +346,11 @@
     }
 
     private void replicate(Object operation, Result result) {
+        Object known = ledger.atOnce(operation);
+        if (known != null) {
+            host.after(0, () -> result.of(known, null));
+            return;
+        }
         CompletableFuture<Ordered<Object>> agreed = node.replicate(operation);
         agreed.whenComplete((ordered, why) ->
             host.after(0, () -> result.of(why == null ? ordered.getResult() : null, why)));
@@ -367,7 +374,9 @@
         // of an earlier disk's votes and promises this process knows nothing
         if (votes() && seat.toString().equals(to)) {
             RaftMessage read = RaftCodec.message(message, GROUP);
-            if (read.getSender().equals(node.getTerm().getLeaderEndpoint())) {
+            // one that led and asks for votes now says by that that it leads no longer
+            boolean leads = read instanceof AppendEntriesRequest || read instanceof InstallSnapshotRequest;
+            if (leads && read.getSender().equals(node.getTerm().getLeaderEndpoint())) {
                 heardLeaderUs = host.nowUs();
             }
             node.handle(read);
--- a/src/main/java/holdproxy/council/Ledger.java
+++ b/src/main/java/holdproxy/council/Ledger.java
@@ -10,6 +10,12 @@
     /** Applies an operation that is agreed; {@code index} grows. Its answer goes to who proposed it. */
     Object apply(long index, Object operation);
 
+    /**
+     * In the process that leads: an answer that needs no agreement, since the operation would change nothing
+     * and whoever asks bears an old answer; null where it has to be agreed.
+     */
+    Object atOnce(Object operation);
+
     /** Becomes empty: it is made again from the beginning. */
     void clear();
 
--- a/src/main/java/holdproxy/duties/DutyTable.java
+++ b/src/main/java/holdproxy/duties/DutyTable.java
@@ -98,6 +98,18 @@
         };
     }
 
+    /** Asking for what somebody else holds: forty that wait must not fill the log. */
+    @Override
+    public Object atOnce(Object operation) {
+        List<?> op = (List<?>) operation;
+        Lease lease = op.get(0).equals("ask") ? held.get(op.get(1)) : null;
+        if (lease == null || lease.holder().equals(op.get(2)) && lease.life() == number(op, 3)) {
+            return null;
+        }
+        refused.accept(lease.duty(), (String) op.get(2));
+        return answer(Word.TAKEN, lease.token(), lease.holder());
+    }
+
     private static long number(List<?> op, int i) {
         return ((Number) op.get(i)).longValue();
     }
--- a/src/main/java/holdproxy/lab/CouncilTrial.java
+++ b/src/main/java/holdproxy/lab/CouncilTrial.java
@@ -63,6 +63,11 @@
             return place == null ? index : place;
         }
 
+        @Override
+        public Object atOnce(Object operation) {
+            return null;
+        }
+
         @Override
         public void clear() {
             all.clear();
--- a/src/test/java/holdproxy/duties/DutyTableTest.java
+++ b/src/test/java/holdproxy/duties/DutyTableTest.java
@@ -60,6 +60,18 @@
         assertEquals(List.of("HELD", 3L, 0L), other.apply(9, DutyTable.ask("e", "c", 1, 1000, 2)), "tokens go on");
     }
 
+    @Test
+    void whoAsksForWhatAnotherHoldsIsAnsweredWithoutTheLog() {
+        List<String> refused = new ArrayList<>();
+        table.onRefused((duty, name) -> refused.add(duty + " " + name));
+        assertNull(table.atOnce(DutyTable.ask("d", "a", 5, 1000, 0)), "it is free");
+        apply(DutyTable.ask("d", "a", 5, 1000, 0));
+        assertNull(table.atOnce(DutyTable.ask("d", "a", 5, 1000, 0)), "its own: a renewal");
+        assertNull(table.atOnce(DutyTable.renew("d", 1)));
+        assertEquals(List.of("TAKEN", 1L, "a"), table.atOnce(DutyTable.ask("d", "b", 9, 1000, 0)));
+        assertEquals(List.of("d b"), refused);
+    }
+
     @Test
     void dutiesAreBounded() {
         for (int i = 0; i < DutyTable.MOST_DUTIES; i++) {
