--- a/src/main/java/holdproxy/council/Council.java
+++ b/src/main/java/holdproxy/council/Council.java
@@ -85,6 +85,8 @@
 
     private final String name;
     private final List<String> voters;
+    /** Those but this process: whom it can ask. */
+    private final List<String> others;
     private final Host host;
     private final Random random;
     private final Ledger ledger;
@@ -108,6 +110,7 @@
     public Council(String name, List<String> voters, Host host, Random random, Ledger ledger) {
         this.name = name;
         this.voters = List.copyOf(voters);
+        others = this.voters.stream().filter(v -> !v.equals(name)).toList();
         this.host = host;
         this.random = random;
         this.ledger = ledger;
@@ -126,8 +129,7 @@
         if (kept.seat() != null) {
             throw new BadInput("there is a council's disk already, of " + kept.seat());
         }
-        Set<RaftEndpoint> seats = new LinkedHashSet<>();
-        voters.forEach(v -> seats.add(new Seat(v, 0)));
+        Set<RaftEndpoint> seats = firstSeats(voters);
         if (!voters.contains(name)) {
             throw new BadInput(name + " is not one of the first voters, " + voters);
         }
@@ -139,6 +141,12 @@
             .setVotedFor(null).build());
     }
 
+    private static Set<RaftEndpoint> firstSeats(Collection<String> voters) {
+        Set<RaftEndpoint> seats = new LinkedHashSet<>();
+        voters.forEach(v -> seats.add(new Seat(v, 0)));
+        return seats;
+    }
+
     /**
      * Takes up its vote, where it is one of the voters. An empty disk makes it a new one, which asks to be
      * admitted in place of what it was; a damaged one leaves it out of the vote.
@@ -185,9 +193,7 @@
                 .setExecutor(pace).setClock(pace).setRandom(random).setTransport(new Outward())
                 .setStateMachine(machine).setStore(kept).setRaftNodeReportListener(new Heard(machine));
             if (isNew) {
-                Set<RaftEndpoint> first = new LinkedHashSet<>();
-                voters.forEach(v -> first.add(new Seat(v, 0)));
-                builder.setLocalEndpoint(seat).setInitialGroupMembers(first);
+                builder.setLocalEndpoint(seat).setInitialGroupMembers(firstSeats(voters));
             } else {
                 builder.setRestoredState(kept.restored());
             }
@@ -222,11 +228,6 @@
         return leading;
     }
 
-    /** Who leads, as far as it knows; empty: nobody. */
-    public String leader() {
-        return leader;
-    }
-
     /** Whether it takes part in votes. */
     public boolean votes() {
         return node != null && !failed && !RaftNodeStatus.isTerminal(node.getStatus());
@@ -323,7 +324,6 @@
             });
             return;
         }
-        List<String> others = voters.stream().filter(v -> !v.equals(name)).toList();
         if (others.isEmpty()) {
             host.after(ASK_US, () -> ask(operation, endUs, answer));
             return;
@@ -413,10 +413,8 @@
         if (ended || !votes() || node.getCommittedMembers().getVotingMembers().contains(seat)) {
             return;
         }
-        for (String voter : voters) {
-            if (!voter.equals(name)) {
-                host.send(voter, RaftCodec.bytes(Arrays.asList("admit", seat.toString())));
-            }
+        for (String voter : others) {
+            host.send(voter, RaftCodec.bytes(Arrays.asList("admit", seat.toString())));
         }
         host.after(ADMIT_US, this::askToBeAdmitted);
     }
@@ -430,9 +428,8 @@
         if (members.getLogIndex() != node.getCommittedMembers().getLogIndex()) {
             return; // a change is under way; it asks again
         }
-        Optional<RaftEndpoint> before = members.getMembers().stream().map(Seat.class::cast)
-            .filter(s -> s.name().equals(newcomer.name()) && !s.equals(newcomer))
-            .map(RaftEndpoint.class::cast).findFirst();
+        Optional<RaftEndpoint> before = members.getMembers().stream()
+            .filter(s -> ((Seat) s).name().equals(newcomer.name()) && !s.equals(newcomer)).findFirst();
         if (before.isPresent()) {
             change(before.get(), MembershipChangeMode.REMOVE_MEMBER, members.getLogIndex());
         } else if (!members.getMembers().contains(newcomer)) {
--- a/src/main/java/holdproxy/daemon/CouncilPart.java
+++ b/src/main/java/holdproxy/daemon/CouncilPart.java
@@ -47,8 +47,9 @@
         this.peers = peers;
         name = file.name();
         DutyTable table = new DutyTable();
-        council = new Council(name, file.voters(), new CouncilHost(), new Random(), table);
-        duties = new Duties(name, life, council, table, new DutiesHost(), new Random());
+        Offered host = new Offered();
+        council = new Council(name, file.voters(), host, new Random(), table);
+        duties = new Duties(name, life, council, table, host, new Random());
     }
 
     /** Takes up this process's vote, if it has one, and asks for the duties that the file names. */
@@ -117,27 +118,20 @@
         }
     }
 
-    private long clockUs() {
-        return (System.nanoTime() - startNs) / 1000;
-    }
-
-    private void later(long us, Runnable task) {
-        if (us <= 0) {
-            loop.execute(task);
-        } else {
-            loop.schedule(task, us, TimeUnit.MICROSECONDS);
-        }
-    }
-
-    private final class CouncilHost implements Council.Host {
+    /** What both are offered, and hear. */
+    private final class Offered implements Council.Host, Duties.Host {
         @Override
         public long nowUs() {
-            return clockUs();
+            return (System.nanoTime() - startNs) / 1000;
         }
 
         @Override
         public void after(long us, Runnable task) {
-            later(us, task);
+            if (us <= 0) {
+                loop.execute(task);
+            } else {
+                loop.schedule(task, us, TimeUnit.MICROSECONDS);
+            }
         }
 
         @Override
@@ -160,18 +154,6 @@
         public void out(String why) {
             EventLog.event("out of the vote", "name", name, "why", why);
         }
-    }
-
-    private final class DutiesHost implements Duties.Host {
-        @Override
-        public long nowUs() {
-            return clockUs();
-        }
-
-        @Override
-        public void after(long us, Runnable task) {
-            later(us, task);
-        }
 
         @Override
         public void tellFree(String to, String duty, long token) {
--- a/src/main/java/holdproxy/daemon/DaemonFile.java
+++ b/src/main/java/holdproxy/daemon/DaemonFile.java
@@ -31,6 +31,9 @@
  */
 record DaemonFile(String name, Path folder, InetSocketAddress listen, InetSocketAddress console,
         Config proxy, Peers.Place peers, List<String> voters, List<Drill> drills) {
+    private static final int LEAST_SOCKETS = 128;
+    private static final int MOST_SOCKETS = 1 << 20;
+    private static final int SOCKETS = 1024;
     private static final int LEAST_LEASE_MS = 200;
     private static final int MOST_LEASE_MS = 60_000;
 
@@ -45,10 +48,6 @@
     record Drill(String duty, int leaseMs, int everyMs, InetSocketAddress resource) {
     }
 
-    private static final int LEAST_SOCKETS = 128;
-    private static final int MOST_SOCKETS = 1 << 20;
-    private static final int SOCKETS = 1024;
-
     /** The file as it is now; {@code seed}: of all chance. */
     static DaemonFile read(Path file, long seed) {
         return read(file, seed, null);
--- a/src/main/java/holdproxy/duties/Duties.java
+++ b/src/main/java/holdproxy/duties/Duties.java
@@ -234,8 +234,10 @@
         host.after(Math.max(LEAST_AGAIN_US, us), () -> ask(own));
     }
 
-    private long countsFrom(long askedUs) {
-        return guards.contains(Guard.FROM_ASKING) ? askedUs : host.nowUs();
+    /** Until when a lease lasts by this process's clock that was asked for, or to be renewed, then. */
+    private long lastsUs(Own own, long askedUs) {
+        double part = guards.contains(Guard.BOUND) ? 1 - CLOCK_BOUND : 1;
+        return (guards.contains(Guard.FROM_ASKING) ? askedUs : host.nowUs()) + (long) (own.ms * MS * part);
     }
 
     private void held(Own own, long token, long askedUs) {
@@ -244,10 +246,9 @@
             council.propose(DutyTable.release(own.duty, token), HAND_OVER_US);
             return;
         }
-        double part = guards.contains(Guard.BOUND) ? 1 - CLOCK_BOUND : 1;
         own.token = token;
         own.seen = token;
-        own.untilUs = countsFrom(askedUs) + (long) (own.ms * MS * part);
+        own.untilUs = lastsUs(own, askedUs);
         if (host.nowUs() >= own.untilUs) {
             // too late to be of use; it ends for others when they have waited for it
             again(own, askedUs);
@@ -272,8 +273,7 @@
                 end(own, "the council has ended it");
                 ask(own);
             } else if (failed == null) {
-                double part = guards.contains(Guard.BOUND) ? 1 - CLOCK_BOUND : 1;
-                own.untilUs = Math.max(own.untilUs, countsFrom(askedUs) + (long) (own.ms * MS * part));
+                own.untilUs = Math.max(own.untilUs, lastsUs(own, askedUs));
                 host.after(Math.max(LEAST_AGAIN_US, askedUs + own.ms * MS / 3 - host.nowUs()),
                     () -> renew(own, token));
             } else {
--- a/src/main/java/holdproxy/lab/CouncilFleet.java
+++ b/src/main/java/holdproxy/lab/CouncilFleet.java
@@ -44,25 +44,20 @@
         default String centre() {
             return "";
         }
-
-        /** It leads from now on, or no longer. */
-        void leads(Life life, boolean now);
     }
 
     /** One life of a process. */
-    final class Life implements Council.Host {
+    final class Life extends TrialProcess implements Council.Host {
         final String name;
         final long number;
         final MemoryDisk disk;
         final Council council;
         final Ledger ledger;
         final double rate;
-        boolean over;
         boolean isOut;
-        /** It stands still until then, in true time. */
-        long wakesUs;
 
         private Life(String name, MemoryDisk disk) {
+            super(time);
             this.name = name;
             this.disk = disk;
             number = ++lifeNumbers;
@@ -88,18 +83,6 @@
             time.after((long) Math.ceil(us / rate), () -> run(task));
         }
 
-        /** Now, or once it goes on where it stands still; not at all where it is over. */
-        void run(Runnable task) {
-            if (over) {
-                return;
-            }
-            if (time.nowUs() < wakesUs) {
-                time.after(wakesUs - time.nowUs(), () -> run(task));
-            } else {
-                task.run();
-            }
-        }
-
         @Override
         public void send(String to, byte[] frame) {
             reach(to, life -> life.council.received(frame));
@@ -123,7 +106,12 @@
             if (now) {
                 leaders.add(name);
             }
-            purpose.leads(this, now);
+        }
+
+        /** The process is gone, and with it what its disk had not made safe. */
+        private void die() {
+            over = true;
+            disk.crash();
         }
 
         @Override
@@ -283,8 +271,7 @@
             return;
         }
         kinds.add(kind);
-        life.over = true;
-        life.disk.crash();
+        life.die();
         time.after(forUs, () -> start(name, then));
     }
 
@@ -322,8 +309,7 @@
 
     void stop(String name, long forUs) {
         kinds.add("stopped");
-        Life life = lives.get(name);
-        life.wakesUs = Math.max(life.wakesUs, time.nowUs() + forUs);
+        lives.get(name).standStill(forUs);
     }
 
     void part(String kind, List<String> some, long forUs, boolean out, boolean in) {
@@ -384,8 +370,7 @@
         kinds.add("restarted");
         life.run(() -> purpose.ending(life, () -> life.council.end().whenComplete((done, failed) -> {
             if (!life.over) {
-                life.over = true;
-                life.disk.crash();
+                life.die();
                 time.after(forUs, () -> start(name, life.disk));
             }
         })));
@@ -399,8 +384,7 @@
         }
         disksLostUntilUs = time.nowUs() + forUs;
         kinds.add("bit flipped");
-        life.over = true;
-        life.disk.crash();
+        life.die();
         life.disk.flip();
         time.after(forUs / 2, () -> {
             start(name, life.disk);
--- a/src/main/java/holdproxy/lab/CouncilTrial.java
+++ b/src/main/java/holdproxy/lab/CouncilTrial.java
@@ -36,7 +36,8 @@
      * @param agreed places of the log
      * @param kinds of faults that were caused
      */
-    record Outcome(List<String> broken, int answered, int agreed, Set<String> kinds) {
+    record Outcome(List<String> broken, int answered, int agreed, Set<String> kinds)
+            implements VoterOptions.Outcome {
     }
 
     /** An operation that somebody asked for, and what came of it. */
@@ -150,11 +151,6 @@
         life.council.stepDown().whenComplete((done, why) -> then.run());
     }
 
-    @Override
-    public void leads(CouncilFleet.Life life, boolean now) {
-        // whoever it is
-    }
-
     // ---- judging ----
 
     private void judge(long endUs) {
--- a/src/main/java/holdproxy/lab/DutiesTrial.java
+++ b/src/main/java/holdproxy/lab/DutiesTrial.java
@@ -40,7 +40,8 @@
      * @param freeMs from the last act of one holder to the first of the next, in milliseconds
      * @param kinds of faults that were caused
      */
-    record Outcome(List<String> broken, int acts, int refused, List<Long> freeMs, Set<String> kinds) {
+    record Outcome(List<String> broken, int acts, int refused, List<Long> freeMs, Set<String> kinds)
+            implements VoterOptions.Outcome {
     }
 
     /** In true time; until: to when the holder's lease lasted by its own clock. */
@@ -165,11 +166,6 @@
         return acts.isEmpty() ? "" : acts.get(acts.size() - 1).name;
     }
 
-    @Override
-    public void leads(CouncilFleet.Life life, boolean now) {
-        // whoever it is
-    }
-
     private final class Held implements Duties.Host {
         private final CouncilFleet.Life life;
 
--- a/src/main/java/holdproxy/lab/PeersTrial.java
+++ b/src/main/java/holdproxy/lab/PeersTrial.java
@@ -40,22 +40,19 @@
     record Outcome(List<String> broken, long messages, List<Double> foundS, Set<String> kinds) {
     }
 
-    private final class Process implements Membership.Output {
+    private final class Process extends TrialProcess implements Membership.Output {
         final String name;
         final String address;
         final Random random;
         Membership rules;
-        /** It stands still until then. */
-        long wakesUs;
         /** When its timer rings. */
         long wakingUs = Long.MAX_VALUE;
-        boolean dead;
         boolean superseded;
-        /** Nothing has been done to it or its links. */
-        boolean sound = true;
+        /** What has been done to it or its links. */
         final Set<String> harms = new TreeSet<>();
 
         Process(String name, String address, long wallMs) {
+            super(time);
             this.name = name;
             this.address = address;
             random = new Random(trialRandom.nextLong());
@@ -65,8 +62,12 @@
             wake();
         }
 
+        boolean sound() {
+            return harms.isEmpty();
+        }
+
         boolean runs() {
-            return !dead && !superseded;
+            return !over && !superseded;
         }
 
         void wake() {
@@ -85,18 +86,6 @@
             }
         }
 
-        /** Now, or once it goes on where it stands still. */
-        void run(Runnable what) {
-            if (dead) {
-                return;
-            }
-            if (time.nowUs() < wakesUs) {
-                time.after(wakesUs - time.nowUs(), () -> run(what));
-            } else {
-                what.run();
-            }
-        }
-
         @Override
         public void send(String to, String toAddress, Message message) {
             messages++;
@@ -120,21 +109,21 @@
             if (change.now().state() == Member.State.SUSPECT && change.now().by().equals(name)) {
                 suspects(change.now());
             }
-            if (change.now().state() != Member.State.DEAD || dead) {
+            if (change.now().state() != Member.State.DEAD || over) {
                 return;
             }
             Process subject = at.get(change.now().address());
             if (subject == null) {
                 return;
             }
-            boolean blind = !sound && BLINDING.containsAll(harms);
-            if (subject.sound && subject.runs() && subject.rules.self().life() == change.now().life()
-                    && (sound || blind)) {
+            boolean blind = !sound() && BLINDING.containsAll(harms);
+            if (subject.sound() && subject.runs() && subject.rules.self().life() == change.now().life()
+                    && (sound() || blind)) {
                 broken.add(name + " holds " + subject.name + ", which no fault has met, for dead at "
-                    + time.nowUs() / 1e6 + " s" + (sound ? "" : ", itself met by " + harms));
+                    + time.nowUs() / 1e6 + " s" + (sound() ? "" : ", itself met by " + harms));
             }
             Long killed = killedUs.get(subject);
-            if (killed != null && sound) {
+            if (killed != null && sound()) {
                 foundS.add((time.nowUs() - killed) / 1e6);
             }
         }
@@ -142,7 +131,7 @@
         /** Who only stood still has nothing to hold against others. */
         private void suspects(Member other) {
             Process subject = at.get(other.address());
-            if (harms.equals(Set.of("stopped")) && subject != null && subject.sound) {
+            if (harms.equals(Set.of("stopped")) && subject != null && subject.sound()) {
                 broken.add(name + ", which only stood still, suspects " + subject.name
                     + ", which no fault has met, at " + time.nowUs() / 1e6 + " s");
             }
@@ -241,13 +230,12 @@
     }
 
     private void kill(Process one, long forUs, boolean again, long setBackMs) {
-        one.dead = true;
+        one.over = true;
         harm(one, !again ? "killed" : setBackMs > 0 ? "killed, back with an earlier clock" : "killed, back");
         killedUs.put(one, time.nowUs());
         if (again) {
             time.after(forUs, () -> {
                 Process back = new Process(one.name, one.address, WALL_MS + time.nowUs() / 1000 - setBackMs);
-                back.sound = false;
                 back.harms.add("new");
                 processes.add(back);
             });
@@ -256,12 +244,11 @@
 
     private void stop(Process one, long forUs) {
         harm(one, "stopped");
-        one.wakesUs = Math.max(one.wakesUs, time.nowUs() + forUs);
+        one.standStill(forUs);
     }
 
     private void harm(Process one, String kind) {
         kinds.add(kind);
-        one.sound = false;
         one.harms.add(kind);
     }
 
@@ -292,7 +279,6 @@
         harm(one, "a second one of its name");
         Process other = new Process(one.name, address(100 + processes.size()),
             Math.max(WALL_MS + time.nowUs() / 1000, one.rules.self().life() + 1));
-        other.sound = false;
         other.harms.add("new");
         processes.add(other);
     }
--- a/src/main/java/holdproxy/lab/ScenarioFile.java
+++ b/src/main/java/holdproxy/lab/ScenarioFile.java
@@ -2,6 +2,7 @@
 
 import holdproxy.input.BadInput;
 import holdproxy.toml.TomlPart;
+import holdproxy.toml.TomlText;
 import holdproxy.town.Load;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -113,7 +114,7 @@
     /** As {@link #read} takes it. */
     static String write(Scenario s) {
         StringBuilder out = new StringBuilder();
-        out.append("name = \"").append(s.name().replace("\\", "\\\\").replace("\"", "\\\"")).append("\"\n");
+        out.append("name = ").append(TomlText.quoted(s.name())).append('\n');
         line(out, "seed", s.seed());
         line(out, "seconds", s.seconds());
         out.append("\n[town]\n");
--- /dev/null
+++ b/src/main/java/holdproxy/lab/TrialProcess.java
@@ -0,0 +1,30 @@
+package holdproxy.lab;
+
+/** A process of a trial, which can stand still, and be over. */
+abstract class TrialProcess {
+    boolean over;
+    private final TrialTime time;
+    /** It stands still until then, in true time. */
+    private long wakesUs;
+
+    TrialProcess(TrialTime time) {
+        this.time = time;
+    }
+
+    /** From now on it stands still for so long, in true time. */
+    final void standStill(long forUs) {
+        wakesUs = Math.max(wakesUs, time.nowUs() + forUs);
+    }
+
+    /** Now, or once it goes on where it stands still; not at all where it is over. */
+    final void run(Runnable task) {
+        if (over) {
+            return;
+        }
+        if (time.nowUs() < wakesUs) {
+            time.after(wakesUs - time.nowUs(), () -> run(task));
+        } else {
+            task.run();
+        }
+    }
+}
--- a/src/main/java/holdproxy/peers/Links.java
+++ b/src/main/java/holdproxy/peers/Links.java
@@ -81,7 +81,7 @@
         this.log = log;
     }
 
-    /** Who takes the frames of a kind, a number from 0 to 127. To be said before {@link #listen}. */
+    /** Who takes the frames of a kind, a number from 0 to 127; those that come before are dropped. */
     public void receive(int kind, Receiver receiver) {
         receivers.put(kind, receiver);
     }
--- a/src/main/java/holdproxy/peers/Membership.java
+++ b/src/main/java/holdproxy/peers/Membership.java
@@ -169,16 +169,6 @@
         return entry == null ? null : entry.member;
     }
 
-    /** Whether others have answered since the start. */
-    public boolean joined() {
-        return joined;
-    }
-
-    /** Whether nobody has been heard for so long that this process may be the one that is cut off. */
-    public boolean isolated(long nowUs) {
-        return live() > 0 && nowUs - lastHeardUs > 4 * settings.periodUs;
-    }
-
     /** When {@link #tick} wants to be called next; the largest number: never again. */
     public long dueUs() {
         return over ? Long.MAX_VALUE : dueUs;
--- a/src/main/java/holdproxy/rig/DaemonText.java
+++ b/src/main/java/holdproxy/rig/DaemonText.java
@@ -1,6 +1,7 @@
 package holdproxy.rig;
 
 import com.fasterxml.jackson.jr.ob.JSON;
+import holdproxy.toml.TomlText;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
@@ -97,7 +98,6 @@
         if (value instanceof List<?> list) {
             return list.stream().map(DaemonText::toml).collect(Collectors.joining(", ", "[", "]"));
         }
-        return value instanceof String text
-            ? "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"" : String.valueOf(value);
+        return value instanceof String text ? TomlText.quoted(text) : String.valueOf(value);
     }
 }
--- a/src/main/java/holdproxy/rig/Schedule.java
+++ b/src/main/java/holdproxy/rig/Schedule.java
@@ -3,6 +3,7 @@
 import holdproxy.input.BadInput;
 import holdproxy.town.Load;
 import holdproxy.toml.TomlPart;
+import holdproxy.toml.TomlText;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -127,7 +128,7 @@
     /** As {@link #read} takes it. */
     String toml() {
         StringBuilder out = new StringBuilder();
-        line(out, "name", quoted(name));
+        line(out, "name", TomlText.quoted(name));
         line(out, "seed", seed);
         line(out, "seconds", seconds);
         out.append("\n[town]\n");
@@ -169,18 +170,14 @@
         for (Expected each : expected) {
             out.append("\n[[expect]]\n");
             line(out, "any", each.any());
-            line(out, "by", quoted(each.by()));
-            line(out, "said", quoted(each.said()));
+            line(out, "by", TomlText.quoted(each.by()));
+            line(out, "said", TomlText.quoted(each.said()));
             line(out, "after_s", each.afterS());
             line(out, "within_s", each.withinS());
         }
         return out.toString();
     }
 
-    private static String quoted(String text) {
-        return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
-    }
-
     private static String state(LinkState s) {
         return "{cut = " + s.cut() + ", unread = " + s.unread() + ", delay_ms = " + s.delayMs()
             + ", jitter_ms = " + s.jitterMs() + ", growth_ms = " + s.growthMs()
--- a/src/test/java/holdproxy/peers/LinksTest.java
+++ b/src/test/java/holdproxy/peers/LinksTest.java
@@ -1,5 +1,6 @@
 package holdproxy.peers;
 
+import static holdproxy.Awaiting.await;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -97,9 +98,9 @@
         loop.submit(gone::close).get();
         Links from = links(Map.of("b", at));
         send(from, "b", new byte[2]);
-        await(() -> from.dropped() > 0);
+        await(END_S, () -> from.dropped() > 0);
         listen(links(Map.of()), at);
-        await(() -> {
+        await(END_S, () -> {
             send(from, "b", new byte[2]);
             return !frames.isEmpty();
         });
@@ -122,18 +123,6 @@
         next();
     }
 
-    private interface Condition {
-        boolean holds() throws Exception;
-    }
-
-    private static void await(Condition condition) throws Exception {
-        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_S);
-        while (!condition.holds()) {
-            assertTrue(System.nanoTime() < endNs, "it never came to be");
-            Thread.onSpinWait();
-        }
-    }
-
     private static Message message() {
         Member sender = new Member("proxy-1", "10.0.0.1:7000", 1_764_000_000_123L, 3, State.ALIVE, "proxy-1");
         return new Message(Message.Kind.PING_REQUEST, Long.MAX_VALUE, "proxy-2", Long.MIN_VALUE, sender,
--- a/src/test/java/holdproxy/rig/RigTest.java
+++ b/src/test/java/holdproxy/rig/RigTest.java
@@ -1,5 +1,6 @@
 package holdproxy.rig;
 
+import static holdproxy.Awaiting.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -15,7 +16,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -140,12 +140,12 @@
         Process rig = new ProcessBuilder(RigCommand.self("rig", "run", file.toString(), "--out", folder.toString()))
             .redirectErrorStream(true).redirectOutput(folder.resolve("out.txt").toFile()).start();
         try {
-            await(() -> Files.exists(folder.resolve("history.txt")) && ofRig().size() == 2
+            await(END_S, () -> Files.exists(folder.resolve("history.txt")) && ofRig().size() == 2
                 && IntStream.range(0, 2).allMatch(this::listens));
             Set<ProcessHandle> started = ofRig();
             assertEquals(2, started.size());
             rig.destroyForcibly().waitFor();
-            await(() -> started.stream().noneMatch(ProcessHandle::isAlive));
+            await(END_S, () -> started.stream().noneMatch(ProcessHandle::isAlive));
         } finally {
             rig.destroyForcibly();
         }
@@ -171,18 +171,6 @@
         }).collect(Collectors.toSet());
     }
 
-    private interface Condition {
-        boolean holds() throws Exception;
-    }
-
-    private static void await(Condition condition) throws Exception {
-        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_S);
-        while (!condition.holds()) {
-            assertTrue(System.nanoTime() < endNs, "it never came to be");
-            Thread.onSpinWait();
-        }
-    }
-
     @Test
     void aScheduleIsWrittenAsItIsReadAndMistakesAreNamedWithTheirLine() {
         for (long seed = 1; seed <= 50; seed++) {
