A silent watch is opened anew before what it misses counts as told

Ruled out: lists that came and were not obeyed (lists= is counted in none of the seconds between), a discovery that was down (other proxies' watches served on), dials that failed (dials_failed=0). Cause: Discovery.SILENCE_MS gave 4 s, and Choice.onNodes then waited ASK_RETRY_US x 0.5 to 1.5, the pause for a discovery that is down, which a silent connection is no sign of: 5 to 7 s and a call, where 6 s are given. The same pause did not heed askWithinMs (5.5 s where 3.2 s were allowed), and where lists are pushed, and count while no watch is open, it was 1 to 12 s. Change: the module is told that a watch has fallen silent (ListKind.SILENT) apart from a failed call. It is noticed after 3 s and opened anew within 1.5 s, spread by the number of proxies so that they do not all call at once; the pause after failures is at most 0.4 of askWithinMs, and 0.1 s growing to 0.4 s for pushed lists. Without the change WatchTimesTest failed: aSilentWatch... took 6530 ms of 5000, aDiscoveryThatIsDown... 5510 ms of 800 ms x 4, wherePushedLists... 1890 ms. Its clock is handed in.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
 import java.io.ByteArrayOutputStream;
@@ -38,10 +39,10 @@
     private static final String PATH = "/registry/instances";
     private static final int LONGEST_LINE = 1 << 20;
     /**
-     * An empty line comes every 2 s; a cut-off machine says nothing at all. Changes count as told 6 s after
-     * they were to be said, so a silent watch must be given up and asked for again within that time.
+     * An empty line comes every 2 s; a cut-off machine says nothing at all. What a silent watch misses counts
+     * as told 6 s after it fell silent: it has to be given up, opened anew and answered within that time.
      */
-    private static final int SILENCE_MS = 4000;
+    private static final int SILENCE_MS = 3000;
     private static final int CONNECT_MS = 2000;
 
     /** An entry of a list with the address and name that the module does not need. */
@@ -188,6 +189,8 @@
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private final Channel channel;
         private boolean over;
+        /** It has served: silence then is the connection's, and not that of a discovery that is down. */
+        private boolean served;
 
         Call(String path, boolean stream) {
             this.stream = stream;
@@ -213,6 +216,10 @@
         }
 
         private void failed(String why) {
+            failed(why, Router.ListKind.FAILED);
+        }
+
+        private void failed(String why, Router.ListKind kind) {
             if (over) {
                 return;
             }
@@ -221,7 +228,7 @@
                 watch = null;
             }
             log.line("discovery: " + why);
-            proxy.nodes(Router.ListKind.FAILED, List.of());
+            proxy.nodes(kind, List.of());
         }
 
         @Override
@@ -238,6 +245,7 @@
                 return;
             }
             if (message instanceof HttpContent c) {
+                served = true;
                 content(c.content());
                 if (c instanceof LastHttpContent && !over) {
                     list();
@@ -292,7 +300,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            failed(cause.getClass().getSimpleName());
+            boolean silent = stream && served && cause instanceof ReadTimeoutException;
+            failed(silent ? "the watch has fallen silent" : cause.getClass().getSimpleName(),
+                silent ? Router.ListKind.SILENT : Router.ListKind.FAILED);
         }
     }
 }
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -28,7 +28,12 @@
     // Discovery: first calls spread over this part of the time in which an instance has to ask.
     static final double ASK_SPREAD = 0.8;
     static final double ASK_US_PER_ROUTER = 400_000;
+    // After a failure they are made again within what is left of that time, counted four times then.
     static final long ASK_RETRY_US = 2_000_000;
+    static final double ASK_RETRY_PART = 0.4;
+    static final double SILENT_SPREAD_US = 1_500_000;
+    static final double SILENT_US_PER_ROUTER = 250_000;
+    static final long PUSHED_RETRY_US = 100_000;
     static final long REPORT_EVERY_US = 20_000_000;
     static final int TIMER_ASK = 0;
     static final int TIMER_COPY = 1;
@@ -83,18 +88,35 @@
 
     @Override
     public void onNodes(long now, ListKind kind, Node[] nodes, int count, Actions out) {
-        tally.add(kind == ListKind.FAILED ? Count.LISTS_FAILED : Count.LISTS);
-        if (kind == ListKind.FAILED) {
+        boolean none = kind == ListKind.FAILED || kind == ListKind.SILENT;
+        tally.add(none ? Count.LISTS_FAILED : Count.LISTS);
+        if (none) {
             subscribed = false;
             report(now, "node list call failed", out);
-            double wait = ASK_RETRY_US * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
-            out.timer((long) wait, TIMER_ASK);
+            out.timer((long) askAgainUs(kind), TIMER_ASK);
             return;
         }
         askFailures = 0;
         fleet.apply(kind, nodes, count);
     }
 
+    /**
+     * When to ask again. A silent watch is opened anew before what it misses counts as told, spread over no
+     * more than that leaves, as all proxies may have met the silence at once; a discovery that is down is
+     * left alone longer each time, since all others call too. Lists that are pushed count at once, and come
+     * from an agent of this proxy's own.
+     */
+    private double askAgainUs(ListKind kind) {
+        if (!set.askForNodes) {
+            return PUSHED_RETRY_US * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
+        }
+        if (kind == ListKind.SILENT) {
+            return random.unit() * Math.min(SILENT_SPREAD_US, SILENT_US_PER_ROUTER * set.routers);
+        }
+        double retry = Math.min(ASK_RETRY_US, ASK_RETRY_PART * set.askWithinUs);
+        return retry * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
+    }
+
     @Override
     public void onLeftOut(long now, int node, boolean out, long at) {
         fleet.leaveOut(node, out, at);
--- a/src/main/java/holdproxy/policy/Router.java
+++ b/src/main/java/holdproxy/policy/Router.java
@@ -23,7 +23,8 @@
 
     enum NodeState { READY, DRAINING, GONE }
 
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    /** SILENT: a watch that served says nothing any more, and is closed; a call for a list has FAILED. */
+    enum ListKind { DELTA, FULL, CACHED, FAILED, SILENT }
 
     /** How an attempt ended. {@link #neverRan}: the outcome proves that the node did no work on it. */
     enum Outcome {
--- a/src/main/java/holdproxy/sim/SimHost.java
+++ b/src/main/java/holdproxy/sim/SimHost.java
@@ -31,7 +31,9 @@
     private static final Router.CacheNote[] NOTES = Router.CacheNote.values();
     private static final Router.NodeState[] STATES =
         {Router.NodeState.GONE, Router.NodeState.READY, Router.NodeState.DRAINING};
-    private static final Router.ListKind[] KINDS = Router.ListKind.values();
+    /** By their numbers there, which know no watch. */
+    private static final Router.ListKind[] KINDS = {Router.ListKind.DELTA, Router.ListKind.FULL,
+        Router.ListKind.CACHED, Router.ListKind.FAILED};
 
     private final InputStream in;
     private final OutputStream out;
--- /dev/null
+++ b/src/test/java/holdproxy/net/WatchTimesTest.java
@@ -0,0 +1,166 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** When discovery is called again, on a clock that the test moves: before what was missed counts as told. */
+class WatchTimesTest {
+    private static final int SEEDS = 200;
+    /** What a silent watch misses counts so long after it fell silent; an answer takes up to 1 s of it. */
+    private static final int SILENT_TOLD_MS = 6_000;
+    private static final int ANSWER_MS = 1_000;
+    private static final int STEP_MS = 10;
+
+    @TempDir
+    Path folder;
+
+    /** A proxy whose only peer is discovery. */
+    private final class Town implements Transport {
+        private final MockTicker ticker = Ticker.newMockTicker();
+        private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
+        private final List<EmbeddedChannel> calls = new ArrayList<>();
+        private final List<InetSocketAddress> called = new ArrayList<>();
+        private final Path file = folder.resolve("config.json");
+        private final Config config;
+        private final Proxy proxy;
+        private boolean down;
+
+        Town(long seed, String settings) throws Exception {
+            write("127.0.0.1:1", settings, seed);
+            config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+            Time time = new Time(ticker, () -> 0);
+            proxy = new Proxy(config, timers.eventLoop(), time, this, new Log(time, line -> { }));
+            proxy.begin();
+            passUntilCall(1, 10_000);
+        }
+
+        private void write(String discovery, String settings, long seed) throws Exception {
+            Files.writeString(file, "{\"discovery\":\"" + discovery + "\"," + Fixture.json(Fixture.list(1, true), settings, 1024)
+                .replace("8c1f30d27a5be964", Long.toHexString(seed)).substring(1));
+        }
+
+        @Override
+        public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+            called.add(address);
+            EmbeddedChannel channel = EmbeddedChannel.builder().ticker(ticker).handlers(handlers).build();
+            calls.add(channel);
+            if (down) {
+                ChannelPromise refused = channel.newPromise();
+                return refused.setFailure(new ConnectException("refused"));
+            }
+            return channel.newSucceededFuture();
+        }
+
+        @Override
+        public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void endSending(Channel channel) {
+            throw new UnsupportedOperationException();
+        }
+
+        EmbeddedChannel latest() {
+            return calls.get(calls.size() - 1);
+        }
+
+        void say(EmbeddedChannel call, String list) {
+            call.writeInbound(Rehearsal.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n"));
+        }
+
+        void pass(int ms) {
+            ticker.advance(ms, TimeUnit.MILLISECONDS);
+            timers.runScheduledPendingTasks();
+            List.copyOf(calls).forEach(EmbeddedChannel::runScheduledPendingTasks);
+        }
+
+        /** Until so many calls were made; returns how long that took. */
+        int passUntilCall(int count, int mostMs) {
+            int passed = 0;
+            for (; calls.size() < count; passed += STEP_MS) {
+                assertTrue(passed < mostMs, "no call within " + mostMs + " ms");
+                pass(STEP_MS);
+            }
+            return passed;
+        }
+    }
+
+    private static String asking(int withinMs, int routers) {
+        return Fixture.SETTINGS.replace("\"askWithinMs\":100.0", "\"askWithinMs\":" + withinMs)
+            .replace("\"balancers\":1", "\"balancers\":" + routers);
+    }
+
+    @Test
+    void aSilentWatchIsOpenedAnewBeforeWhatItMissesCountsAsTold() throws Exception {
+        for (int routers : new int[] {2, 6, 100}) {
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                Town town = new Town(seed, asking(6_000, routers));
+                town.say(town.latest(), Fixture.list(2, true) + "\n");
+                int before = town.calls.size();
+                int took = town.passUntilCall(before + 1, 60_000);
+                assertTrue(took <= SILENT_TOLD_MS - ANSWER_MS, "seed " + seed + " of " + routers + ": " + took + " ms");
+            }
+        }
+    }
+
+    @Test
+    void manyProxiesWhoseWatchesFallSilentAtOnceDoNotCallAtOnce() throws Exception {
+        int[] perTenth = new int[100];
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Town town = new Town(seed, asking(6_000, 100));
+            town.say(town.latest(), Fixture.list(2, true) + "\n");
+            perTenth[town.passUntilCall(town.calls.size() + 1, 60_000) / 100]++;
+        }
+        for (int n : perTenth) {
+            assertTrue(n <= SEEDS / 4, n + " of " + SEEDS + " in a tenth of a second");
+        }
+    }
+
+    @Test
+    void wherePushedListsStopTheNextWatchComesAtOnce() throws Exception {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Town town = new Town(seed, Fixture.SETTINGS.replace("\"subscribe\"", "\"automatic\""));
+            town.say(town.latest(), Fixture.list(2, true) + "\n");
+            town.down = true;
+            town.latest().close();
+            for (int i = 0; i < 10; i++) {
+                int took = town.passUntilCall(town.calls.size() + 1, 60_000);
+                assertTrue(took <= 700, took + " ms"); // the agent's lists count while no watch is open
+            }
+        }
+    }
+
+    @Test
+    void aDiscoveryThatIsDownIsAskedAgainWithinTheTimeThatTheSettingsAllow() throws Exception {
+        for (int within : new int[] {800, 2_000, 8_000}) {
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                Town town = new Town(seed, asking(within, 6));
+                town.down = true;
+                town.latest().close();
+                for (int i = 0; i < 6; i++) {
+                    int took = town.passUntilCall(town.calls.size() + 1, 60_000);
+                    assertTrue(took <= 4 * within, took + " ms of " + within);
+                }
+            }
+        }
+    }
+}
