Lists are cut where their objects end, so that they may come indented

Discovery.Call.content cut a watch at each newline (b == '\n' && stream), so that the first line of an indented list, '{', was 'not JSON' and ended the watch, again and again. Found by reading; JsonFraming cuts at the brace that closes an object, keeps no white space between values (indenting costs no memory) and refuses what is no object at once. A list that has begun and does not end within the time of silence ends the watch: the empty lines behind it would keep it alive for ever. Without it CrossingsTest.aListMayComeIndentedAndInPieces failed (the watch was closed: broken pipe).

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -20,9 +20,7 @@
 import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -37,7 +35,7 @@
  */
 final class Discovery {
     private static final String PATH = "/registry/instances";
-    private static final int LONGEST_LINE = 1 << 20;
+    private static final int LONGEST_LIST = 1 << 20;
     /**
      * An empty line comes every 2 s; a cut-off machine says nothing at all. What a silent watch misses counts
      * as told 6 s after it fell silent: it has to be given up, opened anew and answered within that time.
@@ -186,11 +184,13 @@
     /** One request to discovery: a watch or a single list. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean stream;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final JsonFraming framing = new JsonFraming(LONGEST_LIST);
         private final Channel channel;
         private boolean over;
         /** It has served: silence then is the connection's, and not that of a discovery that is down. */
         private boolean served;
+        /** When no list was begun and not ended last. */
+        private long betweenUs = proxy.now();
 
         Call(String path, boolean stream) {
             this.stream = stream;
@@ -248,8 +248,9 @@
                 served = true;
                 content(c.content());
                 if (c instanceof LastHttpContent && !over) {
-                    list();
-                    if (stream) {
+                    if (!framing.between()) {
+                        failed("a list breaks off");
+                    } else if (stream) {
                         failed("the watch has ended");
                     } else {
                         silently();
@@ -258,26 +259,26 @@
             }
         }
 
+        /** Each whole object is a list, on as many lines as it likes; a call for a single one has one. */
         private void content(ByteBuf bytes) {
             while (bytes.isReadable() && !over) {
-                byte b = bytes.readByte();
-                if (b == '\n' && stream) {
-                    list();
-                } else {
-                    line.write(b);
-                    if (line.size() > LONGEST_LINE) {
-                        failed("a list too long");
+                try {
+                    String text = framing.read(bytes);
+                    if (text != null) {
+                        list(text);
                     }
+                } catch (BadInput e) {
+                    failed("a list is skipped: " + e.getMessage());
                 }
             }
+            if (framing.between()) {
+                betweenUs = proxy.now();
+            } else if (proxy.now() - betweenUs > SILENCE_MS * 1000L) {
+                failed("a list does not end"); // the lines that say that it lives would keep it for ever
+            }
         }
 
-        private void list() {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
-            if (text.isEmpty()) {
-                return;
-            }
+        private void list(String text) {
             Map<String, Object> list = Config.parse(text);
             try {
                 if (list == null) {
