Discovery that has moved is called at once, and no older list is taken

Found by reading. Discovery.moved opened a watch only where one was open (watch != null): after a failed call the new address was used at the module's next timer, up to 12 s later, while changes count 4 s from the signal. A watch whose dial failed within the constructor left a dead call in the field. The module's own turn to ask replaced an open watch. Discovery.list took any version, so that a discovery that has less sent a draining node back to work; rooms and kinds stayed those of the start. Now the watch opens with the signal in every state, a call of the module's beside an open watch does nothing, a list older than the one held is not taken and said, and where rooms or kinds are renumbered the whole list is asked for.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -50,6 +50,8 @@
     private final Proxy proxy;
     private final Config config;
     private InetSocketAddress address;
+    private List<?> zones;
+    private List<?> kinds;
     private final Transport transport;
     private final Log log;
     private final Map<String, Integer> numbers = new HashMap<>();
@@ -61,6 +63,8 @@
         this.proxy = proxy;
         this.config = config;
         address = config.discovery;
+        zones = config.zones;
+        kinds = config.kinds;
         this.transport = transport;
         this.log = log;
     }
@@ -72,21 +76,36 @@
         proxy.nodes(Router.ListKind.CACHED, entries);
     }
 
+    /** The module asks for a watch: nothing where one is open, since each call costs list lines. */
     void watch() {
+        if (watch == null || watch.over) {
+            open(version);
+        }
+    }
+
+    private void open(long from) {
         if (watch != null) {
-            watch.silently(); // one watch is enough: each call costs list lines
+            watch.silently();
         }
-        watch = new Call(PATH + "?stream=1&index=" + version, true);
+        watch = new Call(PATH + "?stream=1&index=" + from, true);
     }
 
-    /** Discovery is at another address: the watch goes on from there; a call that failed is made there. */
-    void moved(InetSocketAddress now) {
-        if (!now.equals(address)) {
-            log.line("discovery is now at " + now);
-            address = now;
-            if (watch != null) {
-                watch();
-            }
+    /**
+     * SIGHUP: the watch goes on where this file says, and at once: what discovery has to tell counts from
+     * the signal on, whether a watch was open or the module is waiting to ask again. Where machine rooms or
+     * kinds have other numbers now, the nodes get them with the whole list.
+     */
+    void taken(Config now) {
+        boolean renumbered = !now.zones.equals(zones) || !now.kinds.equals(kinds);
+        boolean moved = !now.discovery.equals(address);
+        zones = now.zones;
+        kinds = now.kinds;
+        if (moved) {
+            log.line("discovery is now at " + now.discovery);
+            address = now.discovery;
+        }
+        if (moved || renumbered) {
+            open(renumbered ? 0 : version);
         }
     }
 
@@ -128,8 +147,8 @@
             default -> throw new BadInput("a list entry has an unknown state");
         };
         n.id = number(id);
-        n.zone = config.zones.indexOf(m.get("zone"));
-        n.kind = config.kinds.indexOf(m.get("kind"));
+        n.zone = zones.indexOf(m.get("zone"));
+        n.kind = kinds.indexOf(m.get("kind"));
         n.cell = (int) figure(m, "cell", 0);
         n.weight = figure(m, "weight", 1);
         double started = figure(m, "started_ms", 0);
@@ -287,6 +306,11 @@
                 List<Entry> entries = entries(list);
                 long newVersion = version(list);
                 boolean full = Boolean.TRUE.equals(list.get("full"));
+                if (newVersion < version) {
+                    // of a discovery that has less: a node that drains would be sent to again
+                    log.line("discovery: list " + newVersion + " is older than " + version + ": not taken");
+                    return;
+                }
                 version = newVersion;
                 proxy.nodes(full ? Router.ListKind.FULL : Router.ListKind.DELTA, entries);
             } catch (BadInput e) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -117,7 +117,7 @@
 
     /** SIGHUP: the settings and discovery's address are those of this file from here on. */
     public void taken(Config now) {
-        discovery.moved(now.discovery);
+        discovery.taken(now);
         Router.RequestClass[] classes = now.settings.classes;
         now.settings.tenants = Retuning.tenants(settings.tenants, now.settings.tenants);
         now.settings.classes = Retuning.withDropped(settings.classes, classes);
--- a/src/test/java/holdproxy/net/WatchTimesTest.java
+++ b/src/test/java/holdproxy/net/WatchTimesTest.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.Channel;
@@ -163,4 +164,33 @@
             }
         }
     }
+
+    @Test
+    void whereDiscoveryHasMovedItIsCalledAtOnceAlsoWhileNoWatchIsOpen() throws Exception {
+        for (boolean failing : new boolean[] {false, true}) {
+            Town town = new Town(1, asking(6_000, 6));
+            EmbeddedChannel old = town.latest();
+            if (failing) {
+                old.close(); // the module waits to ask again
+            } else {
+                town.say(old, Fixture.list(2, true));
+            }
+            town.write("127.0.0.1:2", asking(6_000, 6), 1);
+            town.proxy.taken(town.config.reload(Fixture.env(town.file, "127.0.0.1:1")));
+            assertEquals(2, town.calls.size());
+            assertEquals(2, town.called.get(1).getPort());
+            // and its answer to what was asked before comes to nothing
+            if (old.isOpen()) {
+                town.say(old, Fixture.list(9, true));
+            }
+            assertEquals(0, town.proxy.figures().poolSize.get());
+            // the module's own turn to ask comes: one watch is enough
+            town.say(town.latest(), Fixture.list(3, true) + "\n");
+            for (int i = 0; i < 10; i++) {
+                town.pass(1_000);
+                town.latest().writeInbound(Rehearsal.bytes("1\r\n\n\r\n"));
+            }
+            assertEquals(2, town.calls.size());
+        }
+    }
 }
