Clients are read on in every state, so that one who leaves is seen at once

Found by reading. ClientSession.throttle turned reading off with 128 requests waiting, while a client took nothing and while a connection was draining; its end then lay unread behind, and its requests went on to be retried, copied and dialed. Reading on is bounded otherwise now: what comes on top is refused in its turn, and only counted (Slot.refused); answers are written while the client takes them. With it: answer closed a client's connection when 12 MiB of answers lay untaken, whichever client it was that had the next answer, and lost its other requests; now a failed answer stands in its place, and those who take theirs have room. The line for one that has sent no command closed its connection behind the flush, and a command read before that was sent on and never answered; it is the answer now, and nothing behind it is sent on.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.util.concurrent.Future;
@@ -14,8 +13,10 @@
 
 /** One client connection: its requests in order, each with one answer, written in that order. */
 final class ClientSession extends SimpleChannelInboundHandler<Object> {
-    /** So many unanswered requests and the connection is not read on until some are answered. */
+    /** So many may wait for their answers; those that come on top are refused, each in its turn. */
     private static final int MOST_WAITING = 128;
+    private static final String BUSY = "SERVER_ERROR busy";
+    private static final String FAILED = "SERVER_ERROR failed";
     private static final int LINGER_MS = 500;
     private static final int LINGER_MOST_MS = 10_000;
     /** One that has sent no whole command is owed an error or its end within 3 s; it holds a place. */
@@ -30,6 +31,12 @@
         private Exchange exchange;
         /** Gives the answer as it comes; null where it is given whole. */
         private Relay relay;
+        /** Not one request but so many running that were refused for want of room: counted and not held. */
+        private int refused;
+
+        private boolean due() {
+            return answer != null || refused > 0;
+        }
     }
 
     private final Proxy proxy;
@@ -38,10 +45,13 @@
     private Future<?> unheard;
     /** When more of a large value came last. */
     private long moreUs = Long.MIN_VALUE / 2;
+    /** Bytes of whole answers that the client has not taken. */
+    private int untaken;
     private boolean unread;
     private boolean closing;
     private boolean refusing;
     private boolean ending;
+    private boolean advancing;
 
     ClientSession(Proxy proxy) {
         this.proxy = proxy;
@@ -64,7 +74,9 @@
             unheard = ctx.executor().schedule(() -> unheard(ctx, afterMs + AT_WORK_MS), AT_WORK_MS,
                 TimeUnit.MILLISECONDS);
         } else {
-            ctx.writeAndFlush(line("CLIENT_ERROR no command")).addListener(ChannelFutureListener.CLOSE);
+            // the answer to a command that crosses it too: such a one is not sent on
+            channel.write(line("CLIENT_ERROR no command"));
+            end();
         }
     }
 
@@ -87,6 +99,10 @@
         if (unread) {
             return; // behind a lost framing, or after the end of our sending: the client asks again elsewhere
         }
+        if (closing || slots.size() >= MOST_WAITING) {
+            turnAway(message);
+            return;
+        }
         Slot slot = new Slot();
         slots.add(slot);
         proxy.busy(this);
@@ -104,20 +120,39 @@
             closing |= f.close();
             answer(slot, f.line());
         }
-        throttle();
     }
 
-    /** Bounded memory: a client that asks without end or does not read its answers is not read from. */
-    private void throttle() {
-        boolean room = !closing && slots.size() < MOST_WAITING && channel.isWritable();
-        channel.config().setAutoRead(unread || room);
+    /**
+     * No room, or no time before its end. The connection is read on in any case: else it would not be seen
+     * that the client has left, and what it waits for would still be sent on. So whatever comes on top is
+     * refused in its turn, and bounded memory is a matter of counting.
+     */
+    private void turnAway(Object message) {
+        if (message instanceof Command.Fault f && f.close()) {
+            unread = true;
+            closing = true;
+        } else if (message instanceof Command c) {
+            proxy.shed(c);
+        } else if (message instanceof Command.TooMuch t) {
+            proxy.shed(t.command());
+        }
+        Slot last = slots.peekLast();
+        if (last == null || last.refused == 0) {
+            last = new Slot();
+            slots.add(last);
+        }
+        last.refused++;
+        if (slots.peek() == last) {
+            advance();
+        }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        throttle();
         if (!slots.isEmpty() && slots.peek().relay != null) {
             slots.peek().relay.pump();
+        } else if (!slots.isEmpty() && channel.isWritable()) {
+            advance();
         }
     }
 
@@ -129,35 +164,47 @@
         return Unpooled.copiedBuffer(text + "\r\n", StandardCharsets.ISO_8859_1);
     }
 
-    /** The one answer of this place; it goes out once those before it have. */
-    void answer(Slot slot, ByteBuf answer) {
+    /**
+     * The one answer of this place; it goes out once those before it have. False: an error stands in its
+     * place, since clients that do not take their answers must not fill our memory with them, nor cost
+     * those that do theirs.
+     */
+    boolean answer(Slot slot, ByteBuf answer) {
         if (slot.answer != null || !channel.isActive()) {
             answer.release();
-            return;
+            return true;
         }
-        slot.answer = answer;
-        slot.exchange = null;
-        proxy.untaken(answer.readableBytes());
-        if (proxy.tooMuchUntaken()) {
-            channel.close(); // clients that do not take their answers must not fill our memory with them
-            return;
+        int size = answer.readableBytes();
+        boolean room = size <= FAILED.length() || proxy.untakenRoom(size, untaken == 0);
+        if (!room) {
+            answer.release();
         }
+        slot.answer = room ? answer : line(FAILED);
+        slot.exchange = null;
+        untaken(slot.answer.readableBytes());
         advance();
+        return room;
+    }
+
+    private void untaken(int change) {
+        untaken += change;
+        proxy.untaken(change);
     }
 
-    /** Writes what is answered and due, and lets a relay go on whose turn it is. */
+    /** Writes what is answered and due while the client takes it, and lets a relay go on whose turn it is. */
     private void advance() {
+        if (advancing) {
+            return; // a flush made room: the loop below goes on
+        }
+        advancing = true;
         boolean any = false;
-        while (!slots.isEmpty() && slots.peek().answer != null) {
-            ByteBuf next = slots.poll().answer;
-            int size = next.readableBytes();
-            channel.write(next).addListener(f -> proxy.untaken(-size));
+        while (!slots.isEmpty() && channel.isWritable() && writeFirst()) {
             any = true;
+            if (slots.isEmpty() || !channel.isWritable() || !slots.peek().due()) {
+                channel.flush();
+            }
         }
-        if (any) {
-            channel.flush();
-            throttle();
-        }
+        advancing = false;
         if (!slots.isEmpty()) {
             if (any && slots.peek().relay != null) {
                 slots.peek().relay.pump();
@@ -169,6 +216,24 @@
         }
     }
 
+    /** The answer of the first place, or one of its refusals; false where it has none yet. */
+    private boolean writeFirst() {
+        Slot first = slots.peek();
+        if (first.answer != null) {
+            slots.poll();
+            int size = first.answer.readableBytes();
+            channel.write(first.answer).addListener(f -> untaken(-size));
+        } else if (first.refused > 0) {
+            if (--first.refused == 0) {
+                slots.poll();
+            }
+            channel.write(line(BUSY));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     // ---- for relays ----
 
     void relay(Slot slot, Relay relay) {
@@ -189,7 +254,6 @@
 
     void flush() {
         channel.flush();
-        throttle();
     }
 
     /** The relay whose turn it was has written all of its value. */
@@ -206,10 +270,9 @@
         channel.close();
     }
 
-    /** Ends the connection once what was read from it is answered; nothing more is read. */
+    /** Ends the connection once what was read from it is answered; what still comes is refused. */
     void close() {
         closing = true;
-        throttle();
         if (slots.isEmpty()) {
             end();
         }
@@ -230,7 +293,6 @@
             proxy.endSending(channel);
             channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         });
-        throttle();
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MOST_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -240,7 +302,7 @@
         proxy.closed(this);
         for (Slot s : slots) {
             if (s.answer != null) {
-                proxy.untaken(-s.answer.readableBytes());
+                untaken(-s.answer.readableBytes());
                 s.answer.release();
             } else if (s.relay != null) {
                 s.relay.clientGone();
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -27,6 +27,7 @@
 public final class Proxy implements Router.Actions {
     private static final long MOST_HELD_BYTES = 16L << 20;
     private static final long MOST_UNTAKEN_BYTES = 12L << 20;
+    private static final long UNTAKEN_FOR_TAKING_BYTES = 4L << 20;
     private static final int MOST_OPEN = 4096;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
@@ -176,6 +177,11 @@
         return new ChannelHandler[] {new Command.Decoder(names, values), new ClientSession(this)};
     }
 
+    /** Whether it still takes connections, also while it ends. */
+    boolean listens() {
+        return listener != null;
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
     }
@@ -342,8 +348,9 @@
         untakenBytes += change;
     }
 
-    boolean tooMuchUntaken() {
-        return untakenBytes > MOST_UNTAKEN_BYTES;
+    /** Whether there is room for so many more; some is left for those who took all that they were given. */
+    boolean untakenRoom(int bytes, boolean taking) {
+        return untakenBytes + bytes <= MOST_UNTAKEN_BYTES + (taking ? UNTAKEN_FOR_TAKING_BYTES : 0);
     }
 
     private String busy(long adviceUs) {
@@ -364,8 +371,9 @@
         x.out--;
         if (outcome == Router.Outcome.OK && !x.answered) {
             concluded(x);
-            outcomes(x.command).ok.add(1);
-            x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
+            boolean given = x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
+            Figures.Outcomes outcomes = outcomes(x.command);
+            (given ? outcomes.ok : outcomes.errors).add(1);
         }
         settle(x);
         long latencyUs = a.firstBytesUs >= 0 ? a.firstBytesUs : latencyUs(a, now());
--- a/src/main/java/holdproxy/net/Relays.java
+++ b/src/main/java/holdproxy/net/Relays.java
@@ -51,6 +51,10 @@
         held += change;
     }
 
+    long held() {
+        return held;
+    }
+
     boolean room() {
         return held < MOST_HELD_BYTES;
     }
--- a/src/test/java/holdproxy/net/ClientSessionTest.java
+++ b/src/test/java/holdproxy/net/ClientSessionTest.java
@@ -7,10 +7,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import holdproxy.policy.Router;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,6 +27,7 @@
 class ClientSessionTest {
     @TempDir
     Path folder;
+    private final EmbeddedNodes nodes = new EmbeddedNodes();
     private Proxy proxy;
 
     @BeforeEach
@@ -28,7 +36,7 @@
         Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
         Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
         Time time = Time.system();
-        proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), time, null, new Log(time)); // no node is dialed
+        proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), time, nodes, new Log(time));
     }
 
     private EmbeddedChannel peer(String sends) {
@@ -70,4 +78,63 @@
         assertNull(peer.readOutbound());
         assertTrue(peer.isActive());
     }
+
+    /** The error is the answer to a command that comes while it is on its way: such a one is not sent on. */
+    @Test
+    void aCommandThatCrossesTheErrorIsNotSentOn() {
+        List<ChannelPromise> held = new ArrayList<>();
+        EmbeddedChannel peer = new EmbeddedChannel(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                held.add(promise); // the socket takes nothing for now
+                ctx.write(message);
+            }
+        });
+        proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(new Router.Node(), "s-0",
+            new InetSocketAddress("127.0.0.1", 100))));
+        peer.pipeline().addLast(proxy.handlers());
+        peer.freezeTime();
+        peer.pipeline().fireChannelActive(); // it came up before there was anyone to tell
+        pass(peer, 2999);
+        assertTrue(said(peer).startsWith("CLIENT_ERROR "));
+        peer.writeInbound(Unpooled.copiedBuffer(Fixture.read("a1", 900), StandardCharsets.ISO_8859_1));
+        assertEquals(0, nodes.all.size());
+        assertEquals(0, proxy.figures().active.get());
+        held.forEach(ChannelPromise::trySuccess);
+        pass(peer, 10_000);
+        assertFalse(peer.isActive());
+    }
+
+    /** Each is answered, in order, however many come on top; what is held of those is a count. */
+    @Test
+    void whatComesOnTopOfWhatOneConnectionMayHaveWaitingIsRefusedInItsTurn() {
+        proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(new Router.Node(), "s-0",
+            new InetSocketAddress("127.0.0.1", 100))));
+        EmbeddedChannel peer = peer("");
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 40_000; i++) {
+            many.append(Fixture.read("a" + i, 4000));
+        }
+        peer.writeInbound(Unpooled.copiedBuffer(many, StandardCharsets.ISO_8859_1));
+        int taken = (int) proxy.figures().active.get();
+        assertTrue(taken <= 128, taken + " are taken");
+        for (EmbeddedChannel node : List.copyOf(nodes.all)) {
+            for (String text = Rehearsal.text(node); text.contains(" O"); text = Rehearsal.text(node)) {
+                int at = text.indexOf(" O") + 1;
+                node.writeInbound(Rehearsal.bytes("VA 1 " + text.substring(at, text.indexOf(' ', at)) + "\r\n1\r\n"));
+            }
+        }
+        String[] lines = Rehearsal.text(peer).split("\r\n");
+        int answers = 0;
+        for (int i = 0; i < lines.length; i++) {
+            if (lines[i].startsWith("VA ")) {
+                assertEquals("VA 1 Oa" + answers, lines[i++]);
+            } else {
+                assertTrue(lines[i].startsWith("SERVER_ERROR busy"), lines[i]);
+            }
+            answers++;
+        }
+        assertEquals(40_000, answers);
+        assertTrue(peer.isActive());
+    }
 }
--- a/src/test/java/holdproxy/net/Fixture.java
+++ b/src/test/java/holdproxy/net/Fixture.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Ticker;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -46,6 +47,11 @@
     }
 
     Fixture(int nodeCount, Function<String, String> change, int sockets) throws IOException {
+        this(nodeCount, change, sockets, null);
+    }
+
+    /** {@code clock}: the module's, in the test's hands; timers of the loop go by the system's. */
+    Fixture(int nodeCount, Function<String, String> change, int sockets, Ticker clock) throws IOException {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new Peer.Listener());
@@ -55,10 +61,33 @@
         Files.writeString(file, json(list(1, true, entries.toArray(String[]::new)), change.apply(SETTINGS), sockets));
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         config = Config.load(env(file, discovery.address()));
-        proxy = Service.start(config, loop, null, null, null);
+        proxy = clock == null ? Service.start(config, loop, null, null, null) : started(clock);
         Files.delete(file);
     }
 
+    private Proxy started(Ticker clock) {
+        Proxy p = loop.submit(() -> Proxy.start(config, loop, new Time(clock, () -> 0), new Sockets(loop, null),
+            line -> { })).syncUninterruptibly().getNow();
+        turn();
+        return p;
+    }
+
+    /**
+     * Returns once the loop has dealt with all that lay at its connections when this was called: a timer is
+     * run no sooner than in the turn after the one that it was set in, behind what that turn has read.
+     */
+    void turn() {
+        for (int i = 0; i < 5; i++) {
+            loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** Requests taken and not ended. */
+    long active() {
+        turn();
+        return proxy.figures().active.get();
+    }
+
     static Map<String, String> env(Path file, String discovery) {
         return Map.of("LB_NAME", "n0", "LB_LISTEN", "127.0.0.1:0", "LB_DISCOVERY", discovery,
             "LB_CONFIG", file.toString());
