What waits for a connection is asked about again before it is begun

Found by reading. NodeConnection.channelActive wrote all in line when a dial came up, also what was answered meanwhile, whose client had left (taken back only where the settings allow cancelling), or whose node had been told to drain or was left out; a connection that came back from its last answer was kept for a node that had moved to another address; and behind a large value still being sent the next command's bytes were written between its slices. Where no time for dials is stated connections waited 1 s (NodePools.retune) and the window of repeats left no room for it (Open.mayGoTo). Now what is not begun stands apart from what is (unsent), goes back to the module as NOT_SENT with the drain, the leaving out or the new address, and is begun only where it is still wanted, within the time of a dial, behind the whole of the value before it. What was never begun costs no budget. The reader of settings states 1 s for dials.

--- a/src/main/java/holdproxy/input/SettingsText.java
+++ b/src/main/java/holdproxy/input/SettingsText.java
@@ -14,6 +14,8 @@
  */
 public final class SettingsText {
     private static final int MOST_ITEMS = 100_000;
+    /** Where no time for dials is stated: the one that connections and windows of repeats both go by. */
+    private static final long DIAL_US = 1_000_000;
 
     private final Map<String, String> values = new HashMap<>();
     private final Set<String> asked = new HashSet<>();
@@ -69,7 +71,8 @@
         s.coldUs = micros("rules.coldMs", 0);
         s.drainGraceUs = micros("rules.drainGraceMs", 0);
         s.tipMultiple = number("rules.tipMultiple", 0, 0);
-        s.dialTimeoutUs = micros("caps.dialTimeoutMs", 0);
+        long dialUs = micros("caps.dialTimeoutMs", 0);
+        s.dialTimeoutUs = dialUs > 0 ? dialUs : DIAL_US;
         s.streamsPerConnection = integer("caps.multiplex", 1, 1);
         s.weights = switch (word("weights", "nominal", "off", "nominal", "rough", "live")) {
             case "off" -> Router.Weights.NONE;
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
@@ -13,12 +14,18 @@
     private static final int SLICE_BYTES = 32 * 1024;
 
     final NodePool pool;
+    final InetSocketAddress address;
+    /** How long what is put on it may wait for it to come up. */
+    private final long dialUs;
+    /** Those that are begun, in the order of their answers, and behind them those that are not yet. */
     private final ArrayDeque<Attempt> line = new ArrayDeque<>();
+    private final ArrayDeque<Attempt> unsent = new ArrayDeque<>();
     /** Those whose values are on their way, and how much of the first one's has gone. */
     private final ArrayDeque<Attempt> sending = new ArrayDeque<>();
     private int sent;
     private Channel channel;
     private boolean up;
+    private boolean wanted;
     private boolean closed;
     /** An attempt on it was given up: what went on it now would wait behind that one's answer. */
     private boolean retired;
@@ -28,8 +35,10 @@
     private boolean inPieces;
     private Answer relayed;
 
-    NodeConnection(NodePool pool) {
+    NodeConnection(NodePool pool, InetSocketAddress address, long dialUs) {
         this.pool = pool;
+        this.address = address;
+        this.dialUs = dialUs;
     }
 
     @Override
@@ -38,7 +47,7 @@
     }
 
     int load() {
-        return line.size();
+        return line.size() + unsent.size();
     }
 
     boolean usable() {
@@ -47,12 +56,34 @@
 
     void add(Attempt a) {
         a.connection = this;
-        line.add(a);
+        wanted = true;
+        unsent.add(a);
         if (up) {
-            write(a);
+            begin();
         }
     }
 
+    /** Begins what waits, each behind the whole of the one before it. */
+    private void begin() {
+        while (!unsent.isEmpty() && sending.isEmpty() && !closed) {
+            Attempt a = unsent.poll();
+            if (mayBegin(a)) {
+                line.add(a);
+                write(a);
+            } else {
+                end(a, Router.Outcome.NOT_SENT, null);
+            }
+        }
+    }
+
+    /**
+     * Not where its client has left meanwhile or has its answer, where the node was told to drain or is left
+     * out, or where it has waited longer than a dial may take, by which the module has reckoned.
+     */
+    private boolean mayBegin(Attempt a) {
+        return !a.exchange.answered && pool.takes(this) && pool.pools.proxy.now() - a.sentUs <= dialUs;
+    }
+
     private void write(Attempt a) {
         long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
         Command c = a.exchange.command;
@@ -78,6 +109,7 @@
                 written.addListener(f -> written(a, f.isSuccess()));
             }
         }
+        begin();
     }
 
     private void written(Attempt a, boolean whole) {
@@ -95,8 +127,9 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         up = true;
-        for (Attempt a : line) {
-            write(a);
+        begin();
+        if (wanted && line.isEmpty() && unsent.isEmpty() && !closed) {
+            pool.idle(this); // nobody wants any more what it was opened for
         }
     }
 
@@ -115,14 +148,14 @@
      */
     boolean giveUp(Attempt a) {
         a.over = true;
-        if (!up) {
-            line.remove(a);
-            if (line.isEmpty()) {
+        if (unsent.remove(a)) {
+            if (line.isEmpty() && unsent.isEmpty()) {
                 close();
             }
             return false;
         }
         retired = true;
+        handBack();
         if (anyWaiting()) {
             return true;
         }
@@ -131,6 +164,17 @@
         return written;
     }
 
+    /** What is not begun may be sent elsewhere. */
+    void handBack() {
+        boolean dialing = !up;
+        for (Attempt a = unsent.poll(); a != null; a = unsent.poll()) {
+            end(a, Router.Outcome.NOT_SENT, null);
+        }
+        if (dialing) {
+            close(); // nobody waits for it any more
+        }
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
         if (message instanceof Answer answer) {
@@ -196,7 +240,7 @@
     /** The attempt that was due an answer has it. */
     private void finished(Attempt a, Answer answer) {
         line.poll();
-        if (line.isEmpty() && !retired) {
+        if (line.isEmpty() && unsent.isEmpty() && !retired) {
             pool.idle(this);
         }
         if (!a.over) {
@@ -290,5 +334,9 @@
             Attempt a = line.poll();
             end(a, a.broken(), null);
         }
+        while (!unsent.isEmpty()) {
+            Attempt a = unsent.poll();
+            end(a, a.broken(), null);
+        }
     }
 }
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -54,6 +54,11 @@
         return null;
     }
 
+    /** Whether something new may be begun on this connection: to this node, where it is now. */
+    boolean takes(NodeConnection c) {
+        return !left && address.equals(c.address);
+    }
+
     /** Only for want of a descriptor: a quick answer would wait behind the slow one that is due before it. */
     private NodeConnection shared() {
         NodeConnection best = null;
@@ -72,7 +77,7 @@
     }
 
     void idle(NodeConnection c) {
-        if (left) {
+        if (!takes(c)) {
             c.close();
             return;
         }
@@ -98,14 +103,24 @@
 
     void leave() {
         left = true;
+        nothingNew();
+    }
+
+    /** What is begun goes on; what waits for a connection goes back to the module at once. */
+    private void nothingNew() {
         closeIdle();
+        for (NodeConnection c : List.copyOf(all)) {
+            if (!takes(c)) {
+                c.handBack();
+            }
+        }
     }
 
     void listed(InetSocketAddress now) {
         left = false;
         if (!address.equals(now)) {
             address = now;
-            closeIdle();
+            nothingNew();
         }
     }
 
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -20,7 +20,7 @@
     private final int most;
     private final EventLoop loop;
     private final Transport transport;
-    private int dialMs;
+    private long dialUs;
     private final Map<Integer, NodePool> byId = new HashMap<>();
     private int open;
     private int dials;
@@ -39,9 +39,8 @@
     /** What the settings say of connections, for those that are made or become idle from here on. */
     void retune(Router.Settings settings) {
         // drains: what waits for a connection must be written within the grace of a change told meanwhile
-        long dialUs = settings.dialTimeoutUs > 0 ? settings.dialTimeoutUs : 1_000_000;
         long grace = settings.drainGraceUs;
-        dialMs = (int) Math.max(1, (grace > 0 ? Math.min(dialUs, grace / 2) : dialUs) / 1000);
+        dialUs = grace > 0 ? Math.min(settings.dialTimeoutUs, grace / 2) : settings.dialTimeoutUs;
         // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
         streams = settings.secondCopies ? settings.streamsPerConnection : 1;
         idleUs = settings.idleCloseUs - settings.idleCloseUs / IDLE_SHARE;
@@ -92,9 +91,9 @@
         }
         open++;
         dials++;
-        NodeConnection c = new NodeConnection(pool);
+        NodeConnection c = new NodeConnection(pool, pool.address, dialUs);
         pool.added(c);
-        transport.connect(pool.address, dialMs, new Answer.Decoder(), c)
+        transport.connect(pool.address, (int) Math.max(1, dialUs / 1000), new Answer.Decoder(), c)
             .addListener((ChannelFutureListener) c::dialed);
         return c;
     }
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -272,8 +272,9 @@
         if (r.out != 0 && budget < COPY_PRICE) {
             tally.add(Count.COPIES_WITHOUT_BUDGET);
         }
-        // a dial that failed has cost no node anything: what follows is in effect the first attempt
-        double price = r.out != 0 ? COPY_PRICE : r.last == Outcome.CONNECT_FAILED ? 0 : 1;
+        // what was never begun has cost no node anything: what follows is in effect the first attempt
+        boolean begun = r.last != Outcome.CONNECT_FAILED && r.last != Outcome.NOT_SENT;
+        double price = r.out != 0 ? COPY_PRICE : begun ? 1 : 0;
         boolean may = budget >= price && giveUpAt(r) > now && (r.out == 0 || set.secondCopies);
         Target t = !may || r.attempts >= r.attemptsMost ? null
             : toOrigin ? origin() : placement.choose(r, now);
--- a/src/test/java/holdproxy/net/ConfigTest.java
+++ b/src/test/java/holdproxy/net/ConfigTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.input.BadInput;
+import holdproxy.input.SettingsText;
 import holdproxy.policy.Router;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -82,4 +83,13 @@
         assertEquals(1, err.lines().count(), err);
         assertTrue(err.contains("list entry"), err);
     }
+
+    /** As connections wait without such a setting, the windows of repeats have to leave room for it. */
+    @Test
+    void whereNoTimeForDialsIsStatedWhatTheyMayTakeIsReckonedWith() {
+        for (String dial : new String[] {"", "caps.dialTimeoutMs=0\n"}) {
+            assertEquals(1_000_000, new SettingsText(dial + "grades.count=0\n").settings().dialTimeoutUs);
+        }
+        assertEquals(200_000, new SettingsText("caps.dialTimeoutMs=200\n").settings().dialTimeoutUs);
+    }
 }
