A connection that has idled too long is not used, however late its timer is

Found by reading. Only a timer closed an idle connection (NodePool.idle); a request that was read first in the turn after a standstill took it, and ended as a reset at a node that had closed it. A shorter idleCloseMs at SIGHUP did not reach those that idled already. Now the age is looked at where a connection is taken, and SIGHUP sets the timers anew. Without it CrossingsTest.aConnectionThatHasIdledTooLong... failed: the old connection was used.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -34,6 +34,8 @@
     /** A value comes in pieces now. */
     private boolean inPieces;
     private Answer relayed;
+    /** When it came back from its last answer; before the first one it never idles. */
+    long idleSinceUs;
 
     NodeConnection(NodePool pool, InetSocketAddress address, long dialUs) {
         this.pool = pool;
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -42,11 +43,17 @@
         c.add(a);
     }
 
+    /** The newest that still may be used. */
     private NodeConnection idle() {
-        while (!idle.isEmpty()) {
-            NodeConnection c = idle.pollLast();
-            stopTimer(c);
+        long now = pools.proxy.now();
+        while (!idle.isEmpty() && now - idle.peekFirst().idleSinceUs >= pools.idleUs) {
+            idle.peekFirst().close(); // its timer is late, as this loop was
+        }
+        for (Iterator<NodeConnection> newest = idle.descendingIterator(); newest.hasNext();) {
+            NodeConnection c = newest.next();
             if (c.usable()) {
+                newest.remove();
+                stopTimer(c);
                 pools.reused();
                 return c;
             }
@@ -81,9 +88,23 @@
             c.close();
             return;
         }
+        c.idleSinceUs = pools.proxy.now();
         idle.addLast(c);
-        // the node closes it at its own time; a request written then would end as a reset
-        idleTimers.put(c, pools.after(pools.idleUs, () -> c.close()));
+        closeWhenOld(c);
+    }
+
+    /** The node closes it at its own time; a request written then would end as a reset. */
+    private void closeWhenOld(NodeConnection c) {
+        long left = c.idleSinceUs + pools.idleUs - pools.proxy.now();
+        idleTimers.put(c, pools.after(Math.max(0, left), c::close));
+    }
+
+    /** Other settings: what idles already goes by them too. */
+    void retuned() {
+        for (NodeConnection c : idle) {
+            stopTimer(c);
+            closeWhenOld(c);
+        }
     }
 
     private void stopTimer(NodeConnection c) {
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -44,6 +44,7 @@
         // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
         streams = settings.secondCopies ? settings.streamsPerConnection : 1;
         idleUs = settings.idleCloseUs - settings.idleCloseUs / IDLE_SHARE;
+        byId.values().forEach(NodePool::retuned);
     }
 
     /** The list names this node: unless operators have left it out it may be sent to, at this address. */
