A write is begun where no other command's answer without an id can come

Refusals and failures bear no id, and NodeConnection.answered took any such line for the answer of the attempt in line: a second 'busy' to a read, told for the write behind it, says that the write never ran, and it was sent again or refused while it ran. What such a line was taken for has its own answer still to come, so the doubt lasts until an answer with an id has come. Now a request that must not run twice goes on a new connection, or on one that is quiet for 50 ms since an answer with its id; reads go on as before. It is not put behind others for want of a descriptor either. Without it CrossingsTest failed: aSecondAnswerWithoutAnId... and behindAnAnswerWithoutAnId... (the write came on the same connection).

--- a/src/main/java/holdproxy/net/Exchange.java
+++ b/src/main/java/holdproxy/net/Exchange.java
@@ -13,18 +13,21 @@
     final long dueUs;
     /** As the settings had it when it came. */
     final int maxAttempts;
+    /** Whether it may run twice, likewise. */
+    final boolean repeatable;
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean answered;
     Future<?> overdue;
 
     Exchange(long id, Command command, ClientSession session, ClientSession.Slot slot, long dueUs,
-            int maxAttempts) {
+            int maxAttempts, boolean repeatable) {
         this.id = id;
         this.command = command;
         this.session = session;
         this.slot = slot;
         this.dueUs = dueUs;
         this.maxAttempts = maxAttempts;
+        this.repeatable = repeatable;
     }
 }
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -13,6 +13,9 @@
 final class NodeConnection extends SimpleChannelInboundHandler<Object> {
     private static final int SLICE_BYTES = 32 * 1024;
 
+    /** So long after an answer a second one to the same command may still come, which bears no id. */
+    private static final long SECOND_ANSWER_US = 50_000;
+
     final NodePool pool;
     final InetSocketAddress address;
     /** How long what is put on it may wait for it to come up. */
@@ -36,6 +39,9 @@
     private Answer relayed;
     /** When it came back from its last answer; before the first one it never idles. */
     long idleSinceUs;
+    /** The last answer may have been another command's: failures and refusals bear no id. */
+    private boolean doubtful;
+    private boolean answered;
 
     NodeConnection(NodePool pool, InetSocketAddress address, long dialUs) {
         this.pool = pool;
@@ -52,6 +58,16 @@
         return line.size() + unsent.size();
     }
 
+    /**
+     * Whether the next line without an id that comes can be no other command's answer than the next one's.
+     * On no such connection a refusal proves that a write did not run: it may be the second answer to what
+     * was asked before, or the late one of what such a second answer was taken for.
+     */
+    boolean certain(long now) {
+        long quietUs = now - pool.pools.proxy.justStoodStillUs(now) - idleSinceUs;
+        return !answered || !doubtful && quietUs > SECOND_ANSWER_US;
+    }
+
     boolean usable() {
         return !closed && !retired && sending.isEmpty() && (!up || channel.isActive());
     }
@@ -242,6 +258,8 @@
     /** The attempt that was due an answer has it. */
     private void finished(Attempt a, Answer answer) {
         line.poll();
+        answered = true;
+        doubtful = answer.outcome != Router.Outcome.OK;
         if (line.isEmpty() && unsent.isEmpty() && !retired) {
             pool.idle(this);
         }
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -28,11 +28,12 @@
     }
 
     void send(Attempt a) {
-        NodeConnection c = idle();
+        boolean repeatable = a.exchange.repeatable;
+        NodeConnection c = idle(repeatable);
         if (c == null) {
             c = pools.open(this);
         }
-        if (c == null) {
+        if (c == null && repeatable) {
             c = shared();
         }
         if (c == null) {
@@ -43,15 +44,15 @@
         c.add(a);
     }
 
-    /** The newest that still may be used. */
-    private NodeConnection idle() {
+    /** The newest that still may be used; where the request must not run twice, one that is beyond doubt. */
+    private NodeConnection idle(boolean repeatable) {
         long now = pools.proxy.now();
         while (!idle.isEmpty() && now - idle.peekFirst().idleSinceUs >= pools.idleUs) {
             idle.peekFirst().close(); // its timer is late, as this loop was
         }
         for (Iterator<NodeConnection> newest = idle.descendingIterator(); newest.hasNext();) {
             NodeConnection c = newest.next();
-            if (c.usable()) {
+            if (c.usable() && (repeatable || c.certain(now))) {
                 newest.remove();
                 stopTimer(c);
                 pools.reused();
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -289,7 +289,8 @@
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
         long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - lateness.justNowUs(now);
-        Exchange x = new Exchange(nextId++, c, session, slot, dueUs, settings.maxAttempts);
+        Exchange x = new Exchange(nextId++, c, session, slot, dueUs, settings.maxAttempts,
+            settings.classes[type].effect == Router.Effect.SAFE);
         table.put(x.id, x);
         figures.active.add(1);
         x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
@@ -393,6 +394,11 @@
         return Math.max(0, now - a.sentUs - stoodStillUs(a, now));
     }
 
+    /** For how long the loop stood still just before this: what is read now may have waited so long. */
+    long justStoodStillUs(long now) {
+        return lateness.justNowUs(now);
+    }
+
     /** For how long the loop has stood still since an attempt was sent. */
     private long stoodStillUs(Attempt a, long now) {
         return lateness.totalUs(now) - a.stoodStillUs;
--- /dev/null
+++ b/src/test/java/holdproxy/net/CrossingsTest.java
@@ -0,0 +1,181 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Two events at one connection to a node in their bad order, which the test causes each time. */
+@Timeout(60)
+class CrossingsTest {
+
+    private static void served(Peer client, Peer node, String id) throws Exception {
+        assertTrue(node.line().contains("O" + id + " "));
+        node.send("VA 1 O" + id + "\r\n1\r\n");
+        client.expect("VA 1 O" + id, "1");
+    }
+
+    /** Moves the module's clock, the loop having been on time. */
+    private static void pass(Fixture f, MockTicker clock, int ms) throws Exception {
+        clock.advance(ms, TimeUnit.MILLISECONDS);
+        for (int i = 0; i < 2; i++) {
+            f.loop.submit(f.proxy::tick).get();
+        }
+    }
+
+    /** No time passes on the module's clock between an answer and the next request, whatever the machine does. */
+    @Test
+    void aSecondAnswerWithoutAnIdIsNotTakenForThatOfAWrite() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Fixture f = new Fixture(1, s -> s, 1024, clock)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer first = f.nodes.get(0).next();
+            served(client, first, "a1");
+            client.send(Fixture.write("charge", "c1", 4000));
+            Peer second = f.nodes.get(0).next();
+            second.line();
+            second.expect("hello");
+            first.send("SERVER_ERROR busy\r\n"); // once more to a1
+            first.expectEnd();
+            second.send("HD Oc1 c7\r\n");
+            client.expect("HD Oc1 c7");
+        }
+    }
+
+    @Test
+    void behindAnAnswerWithoutAnIdNoWriteIsBegun() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Fixture f = new Fixture(1, s -> s.replace("\"maxAttempts\":4", "\"maxAttempts\":1"), 1024, clock)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer first = f.nodes.get(0).next();
+            assertTrue(first.line().contains("Oa1 "));
+            first.send("SERVER_ERROR busy\r\n"); // it may be of what was asked before, and a1's is to come
+            assertTrue(client.line().startsWith("SERVER_ERROR busy"));
+            pass(f, clock, 1_000);
+            client.send(Fixture.write("charge", "c1", 4000));
+            Peer second = f.nodes.get(0).next();
+            assertTrue(second.line().contains("Oc1 "));
+            second.expect("hello");
+            second.send("HD Oc1 c7\r\n");
+            client.expect("HD Oc1 c7");
+        }
+    }
+
+    @Test
+    void aWriteGoesOnAConnectionThatHasBeenQuietSinceAnAnswerWithItsId() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Fixture f = new Fixture(1, s -> s, 1024, clock)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            served(client, node, "a1");
+            pass(f, clock, 1_000);
+            client.send(Fixture.write("charge", "c1", 4000));
+            node.line();
+            node.expect("hello");
+            node.send("HD Oc1 c7\r\n");
+            client.expect("HD Oc1 c7");
+        }
+    }
+
+    /** The timer that closes it is behind the request, as after a standstill of the loop. */
+    @Test
+    void aConnectionThatHasIdledTooLongIsNotUsedAgain() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Fixture f = new Fixture(1, s -> s, 1024, clock)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer old = f.nodes.get(0).next();
+            served(client, old, "a1");
+            pass(f, clock, 25_000); // of 30 s, a fifth of which is kept back
+            client.send(Fixture.read("a2", 4000));
+            served(client, f.nodes.get(0).next(), "a2");
+            old.expectEnd();
+        }
+    }
+
+    @Test
+    void aConnectionThatComesBackFromWhereItsNodeWasBeforeIsNotUsedAgain() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer watch = f.watch();
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer old = f.nodes.get(0).next();
+            assertTrue(old.line().contains("Oa1 "));
+            try (Peer.Listener now = new Peer.Listener()) {
+                Fixture.chunk(watch, Fixture.list(2, false, f.entry(0, "SERVING").replace(
+                    f.nodes.get(0).address(), now.address())));
+                f.turn();
+                old.send("VA 1 Oa1\r\n1\r\n");
+                client.expect("VA 1 Oa1", "1");
+                client.send(Fixture.read("a2", 4000));
+                served(client, now.next(), "a2");
+                old.expectEnd();
+            }
+        }
+    }
+
+    @Test
+    void aListThatIsOlderThanTheOneHeldIsNotTaken() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            f.nodes.add(new Peer.Listener());
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(7, true, f.entry(0, "DRAINING"), f.entry(1, "SERVING")));
+            Fixture.chunk(watch, Fixture.list(6, true, f.entry(0, "SERVING")));
+            f.turn();
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            served(client, f.nodes.get(1).next(), "a1");
+            Fixture.chunk(watch, Fixture.list(8, false, f.entry(0, "SERVING"), f.entry(1, "DRAINING")));
+            f.turn();
+            client.send(Fixture.read("a2", 4000));
+            served(client, f.nodes.get(0).next(), "a2");
+        }
+    }
+
+    @Test
+    void aListMayComeIndentedAndInPieces() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            f.nodes.add(new Peer.Listener());
+            Peer watch = f.watch();
+            String list = Fixture.list(7, true, f.entry(0, "DRAINING").replace("\"east\"", "\"ea}\\\"{st\""),
+                f.entry(1, "SERVING"));
+            String indented = list.replace("{\"", "{\n    \"").replace(",\"", ",\r\n\t\"").replace("}]", "\n}\n]");
+            for (String piece : new String[] {"\n", indented.substring(0, 60), indented.substring(60),
+                "\n\n", Fixture.list(8, false)}) {
+                watch.send(Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
+                f.turn();
+            }
+            assertEquals(2, f.proxy.figures().poolSize.get());
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            served(client, f.nodes.get(1).next(), "a1");
+        }
+    }
+
+    /** Each of these ends the watch, and what is held stays. */
+    @Test
+    void whatIsNoListEndsTheWatchAlone() throws Exception {
+        for (String bad : new String[] {"nothing", "[]", "{\"version\":2}", "{]}", "x".repeat(70_000),
+            "{\"a\":\"" + "x".repeat(1 << 20) + "\"}"}) {
+            try (Fixture f = new Fixture(1)) {
+                Peer watch = f.watch();
+                try {
+                    Fixture.chunk(watch, bad);
+                    watch.expectEnd();
+                } catch (java.net.SocketException e) {
+                    // it ended while the rest was still being sent
+                }
+                Peer client = f.client();
+                client.send(Fixture.read("a1", 4000));
+                served(client, f.nodes.get(0).next(), "a1");
+            }
+        }
+    }
+}
--- a/src/test/java/holdproxy/net/FiguresTest.java
+++ b/src/test/java/holdproxy/net/FiguresTest.java
@@ -29,17 +29,19 @@
         try (Fixture f = new Fixture(1)) {
             assertEquals(1, f.proxy.figures().poolSize.get());
             Peer client = f.client();
-            client.send(Fixture.read("a1", 4000));
-            Peer node = f.nodes.get(0).next();
-            node.line();
-            assertEquals("lookup 0 0 0 charge 0 0 0 tries 1 active 1", figures(f));
-            node.send("VA 1 Oa1\r\n1\r\n");
-            client.expect("VA 1 Oa1", "1");
             client.send(Fixture.write("charge", "c1", 4000));
+            Peer node = f.nodes.get(0).next();
             node.line();
             node.expect("hello");
+            assertEquals("lookup 0 0 0 charge 0 0 0 tries 1 active 1", figures(f));
             node.reset();
             client.expect("SERVER_ERROR failed");
+            client.send(Fixture.read("a1", 4000));
+            node = f.nodes.get(0).next();
+            node.line();
+            assertEquals("lookup 0 0 0 charge 0 0 1 tries 2 active 1", figures(f));
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
             client.send(Fixture.write("charge", "c2", 0));
             assertTrue(client.line().startsWith("SERVER_ERROR busy"));
             client.send("mg k v Oa Pc=nobody,t=acme,d=9\r\n");
--- a/src/test/java/holdproxy/net/RelayTest.java
+++ b/src/test/java/holdproxy/net/RelayTest.java
@@ -313,6 +313,9 @@
         EmbeddedChannel node = asked(); // of the same key: its connection will be used again
         node.writeInbound(bytes("VA 1 Oa1\r\n1\r\n"));
         taken(client);
+        ticker.advance(100, TimeUnit.MILLISECONDS); // a write goes on it once no second answer can come
+        proxy.tick();
+        proxy.tick();
         client.writeInbound(bytes(write), Unpooled.wrappedBuffer(new byte[MIB]));
         node.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
         client.writeInbound(bytes("\r\n"));
--- a/src/test/java/holdproxy/net/RetuningTest.java
+++ b/src/test/java/holdproxy/net/RetuningTest.java
@@ -61,7 +61,10 @@
             sent(node);
             node.send("HD Or1 c1\r\n");
             client.expect("HD Or1 c1");
+            node.close();
+            f.turn();
             client.send(Fixture.write("charge", "c1", 4000));
+            node = f.nodes.get(0).next();
             sent(node);
             node.reset();
             client.expect("SERVER_ERROR failed");
@@ -89,7 +92,10 @@
             sent(again);
             again.send("HD Os1 c1\r\n");
             client.expect("HD Os1 c1");
+            again.close();
+            f.turn();
             client.send(Fixture.write("submit", "s2", 4000));
+            again = next(f);
             sent(again);
             again.reset();
             client.expect("SERVER_ERROR failed"); // not refused: that would promise that it never ran
