Both signals are heeded before the first client can have an answer

Found by reading. Service.run set the handler of SIGHUP after it had begun to listen, and serve and the daemon the one of SIGTERM after that: in between mn was answered and a signal ended the process by default, with code 129 or 143 and all that it had taken. SIGTERM before listening met a null listener and waited for its time; told twice, it ended twice. Now both handlers stand before the socket does; an address that is in use is said, and one that cannot be had still ends the process with 2.

--- a/src/main/java/holdproxy/daemon/Daemon.java
+++ b/src/main/java/holdproxy/daemon/Daemon.java
@@ -20,7 +20,6 @@
 
     private final Path file;
     private DaemonFile inUse;
-    private Service service;
     private Peers peers;
     private CouncilPart council;
 
@@ -52,18 +51,16 @@
         }
         Map<String, String> own = new HashMap<>(env);
         own.put(KEPT_BELOW, inUse.folder().toString());
-        service = Service.run(inUse.proxy(), config -> {
+        Service.run(inUse.proxy(), config -> {
             DaemonFile now = DaemonFile.again(file, inUse);
             inUse = now;
             return now.proxy();
-        }, own, EventLog::line);
-        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-        service.listening();
+        }, own, EventLog::line, this::end).listening();
         EventLog.event("started", "name", inUse.name());
     }
 
     /** SIGTERM: what was taken is answered, then this process is over. */
-    private void end() {
+    private void end(Service service) {
         EventLog.event("ending", "name", inUse.name());
         // while requests are answered: what this process holds, others have at once
         Thread handing = new Thread(this::handOver, "hand-over");
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -88,6 +88,7 @@
         Descriptors bound = Descriptors.of(config.sockets, transport != null && transport.shared());
         mostSessions = bound.clients();
         settings = config.settings;
+        kept = settings.classes;
         names.set(settings);
         for (Router.RequestClass c : settings.classes) {
             figures.of(c.name); // there is a figure before there is a request
@@ -544,8 +545,15 @@
      */
     Future<Void> end(long openMs) {
         loop.execute(() -> {
+            if (draining) {
+                return;
+            }
             draining = true;
             log.line("ending: " + table.size() + " requests open, " + sessions.size() + " connections");
+            if (listener == null) {
+                finishDrain(); // it has not listened yet: nobody was taken
+                return;
+            }
             handingOver = transport.shared();
             if (handingOver) {
                 listener.config().setAutoRead(false);
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -50,31 +50,38 @@
     /** Runs a proxy until SIGTERM; at SIGHUP it reads its configuration again. */
     public static void serve(Map<String, String> env) {
         NettyLog.install(new Log(Time.system()));
-        Service service = run(Config.load(env), null, env, null);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        run(Config.load(env), null, env, null, service -> {
             service.drain();
             Runtime.getRuntime().halt(0);
-        }, "drain"));
-        service.listening();
+        }).listening();
     }
 
     /**
      * Starts a proxy, which takes clients when this returns. {@code again} reads the configuration again at
      * SIGHUP, given the one of the start (null: as {@code env} says); {@code lines} takes the log's lines,
-     * on any thread (null: standard error); {@code env} is looked up for {@code LB_FD} and {@code TMPDIR}.
+     * on any thread (null: standard error); {@code env} is looked up for {@code LB_FD} and {@code TMPDIR};
+     * {@code end} is run at SIGTERM. Both signals are heeded before the first client can have an answer.
      */
     public static Service run(Config config, UnaryOperator<Config> again, Map<String, String> env,
-            Consumer<String> lines) {
+            Consumer<String> lines, Consumer<Service> end) {
         Log log = new Log(Time.system(), lines);
         ServerSocketChannel inherited = inherited(env);
         KeptOut kept = kept(config, env, log);
         Rehearsal.run(config, inherited == null ? Rehearsal.ROUNDS : Rehearsal.UNHURRIED_ROUNDS);
         Turns turns = new Turns();
         EventLoop loop = loop(turns);
-        Proxy proxy = start(config, loop, inherited, kept, lines);
+        Proxy proxy = begun(config, loop, inherited, kept, lines);
         loop.execute(() -> proxy.counting.of(turns));
         Service service = new Service(proxy, loop, log, kept, lines);
         Hangup.handle(() -> reload(config, proxy, loop, again, env));
+        Thread ending = new Thread(() -> end.accept(service), "drain");
+        Runtime.getRuntime().addShutdownHook(ending);
+        try {
+            listen(proxy, config, loop, inherited != null);
+        } catch (BadInput e) {
+            unhook(ending); // it has nothing to answer, and its exit code tells why
+            throw e;
+        }
         if (config.console != null) {
             service.console(config);
         } else {
@@ -92,9 +99,25 @@
         return new MultiThreadIoEventLoopGroup(1, turns).next();
     }
 
+    private static void unhook(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // told to end meanwhile: it does
+        }
+    }
+
     /** A proxy on this loop, once it listens: on the socket that was inherited, or on one of its own. */
     static Proxy start(Config config, EventLoop loop, ServerSocketChannel inherited, KeptOut kept,
             Consumer<String> lines) {
+        Proxy proxy = begun(config, loop, inherited, kept, lines);
+        listen(proxy, config, loop, inherited != null);
+        return proxy;
+    }
+
+    /** One that follows the lists already, and takes no clients yet. */
+    private static Proxy begun(Config config, EventLoop loop, ServerSocketChannel inherited, KeptOut kept,
+            Consumer<String> lines) {
         Time time = Time.system();
         try {
             Proxy proxy = loop.submit(
@@ -108,13 +131,26 @@
                 }
                 return null;
             }).get();
-            if (inherited != null) {
+            return proxy;
+        } catch (ExecutionException e) {
+            throw new BadInput("cannot start: " + e.getCause().getMessage());
+        } catch (InterruptedException e) {
+            throw new BadInput("interrupted");
+        }
+    }
+
+    private static void listen(Proxy proxy, Config config, EventLoop loop, boolean inherited) {
+        try {
+            if (inherited) {
                 // the other process serves on meanwhile; what it knows of the nodes this one should know too
                 proxy.members().first().await(FIRST_LIST_MS);
             }
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
                 // after a restart the one before may hold the address a moment longer
+                if (i == 0) {
+                    loop.execute(() -> proxy.log("waiting for " + config.listen + ", which is in use"));
+                }
                 Thread.sleep(BIND_WAIT_MS);
                 bound = proxy.listen().await();
             }
@@ -122,7 +158,6 @@
                 throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
             }
             loop.submit(() -> { }).get(); // the proxy itself has heard of it, and says so
-            return proxy;
         } catch (ExecutionException e) {
             throw new BadInput("cannot start: " + e.getCause().getMessage());
         } catch (InterruptedException e) {
