What is open at the end is answered before SIGKILL, by the deadlines of the settings

Found by reading. Service.drain halted the process 3.6 s after SIGTERM with requests open (DRAIN_MOST_MS), whatever the settings: with deadlines over 3 s those had no answer, while SIGKILL comes at the longest deadline, at most 3 s, and 0.7 s. Now what is open 0.15 s before that by the classes of the latest file is failed and said, and the process goes on until its connections have ended, for values that clients take slowly up to 15 s. With shorter deadlines each request is due before that.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -36,6 +36,13 @@
     private static final long OVERDUE_US = 15_000;
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     private static final long DRAIN_OPEN_MS = 500;
+    /**
+     * SIGKILL comes no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s after
+     * SIGTERM: what is open so much before is failed, as a request without an answer would be lost.
+     */
+    private static final long KILL_AFTER_MS = 700;
+    private static final long KILL_DEADLINE_MOST_MS = 3_000;
+    private static final long LAST_WORD_BEFORE_MS = 150;
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
     /** For so long a class that new settings have dropped is still served: its requests were under way. */
@@ -307,8 +314,12 @@
     }
 
     private void overdue(Exchange x) {
+        failOverdue(x, "a request was left unanswered: failed");
+    }
+
+    private void failOverdue(Exchange x, String why) {
         if (!x.answered) {
-            log.line("a request was left unanswered: failed");
+            log.line(why);
             answerFailed(x);
             event(() -> router.onAborted(now(), x.id, this));
         }
@@ -559,10 +570,26 @@
                 listener.config().setAutoRead(false);
             }
             loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
+            loop.schedule(this::lastWord, lastWordMs(), TimeUnit.MILLISECONDS);
         });
         return drained;
     }
 
+    /** By the classes of the latest file: whoever sends SIGKILL goes by them. */
+    private long lastWordMs() {
+        long longest = 0;
+        for (Router.RequestClass c : kept) {
+            longest = Math.max(longest, c.deadlineUs / 1000);
+        }
+        return Math.min(longest, KILL_DEADLINE_MOST_MS) + KILL_AFTER_MS - LAST_WORD_BEFORE_MS;
+    }
+
+    private void lastWord() {
+        for (Exchange x : List.copyOf(table.values())) {
+            failOverdue(x, "a request is open at the end: failed");
+        }
+    }
+
     private void stopListening() {
         if (!handingOver) {
             listener.close();
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -19,8 +19,11 @@
 
 /** The process around a proxy: what it inherits at its start, the signals that it heeds, and its console. */
 public final class Service implements Operations {
-    /** The longest that it goes on after SIGTERM, which SIGKILL follows after 3.7 s. */
-    private static final long DRAIN_MOST_MS = 3_600;
+    /**
+     * The longest that it goes on after SIGTERM. Each request has its answer long before; what is left are
+     * values that their clients take slowly, which the process must not be the one to break off.
+     */
+    private static final long DRAIN_MOST_MS = 15_000;
     /** How often it is looked up what another process was told. */
     private static final int LOOK_MS = 100;
     private static final int LOOK_ALONE_MS = 250;
