A file is not turned down for what only some of its classes have

Found by reading. Shape.check asked of every entry of a list what its first entry has (list.get(0)): a customer whose first class alone has a window could not even send the file of the start again, and discovery never moved. Asked for is now what all entries that serve have. Without it RetuningTest.whatOnlySomeClasses... failed (0 taken, 1 turned down).

--- a/src/main/java/holdproxy/input/Shape.java
+++ b/src/main/java/holdproxy/input/Shape.java
@@ -1,5 +1,6 @@
 package holdproxy.input;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -29,9 +30,10 @@
             map.forEach((key, value) -> check(before + key, value, other.get(key)));
         } else if (inUse instanceof List<?> list) {
             List<?> other = next instanceof List<?> l ? l : wrong(path, "a list");
-            // each entry is to have what the entries that serve have
-            for (int i = 0; i < other.size() && !list.isEmpty(); i++) {
-                check(path + "." + i, list.get(0), other.get(i));
+            // each entry is to have what all the entries that serve have; what only some have none needs
+            Object needed = common(list);
+            for (int i = 0; i < other.size(); i++) {
+                check(path + "." + i, needed, other.get(i));
             }
         } else if (inUse instanceof Number && !(next instanceof Number)) {
             wrong(path, "a number");
@@ -42,6 +44,18 @@
         }
     }
 
+    /** What all entries have; null where there is none. */
+    private static Object common(List<?> entries) {
+        if (entries.isEmpty() || !(entries.get(0) instanceof Map<?, ?> first)) {
+            return entries.isEmpty() ? null : entries.get(0);
+        }
+        Map<Object, Object> common = new LinkedHashMap<>(first);
+        for (Object entry : entries) {
+            common.keySet().removeIf(key -> !(entry instanceof Map<?, ?> m) || m.get(key) == null);
+        }
+        return common;
+    }
+
     private static <T> T wrong(String path, String wanted) {
         throw new BadInput(path + " is not " + wanted);
     }
--- a/src/test/java/holdproxy/net/RetuningTest.java
+++ b/src/test/java/holdproxy/net/RetuningTest.java
@@ -171,4 +171,16 @@
             throw new AssertionError("it was taken");
         }
     }
+
+    /** Each customer's classes have what they need: a window, say, only where repeats are discarded. */
+    @Test
+    void whatOnlySomeClassesHaveNoOtherOneNeeds() throws Exception {
+        int charge = SETTINGS.indexOf("\"charge\"");
+        String uneven = SETTINGS.substring(0, charge) + SETTINGS.substring(charge).replaceFirst(
+            "\"repeatWindowMs\":5000.0,", "");
+        try (Fixture f = new Fixture(1, s -> uneven, 1024)) {
+            assertEquals("1/0", reload(f, file(f, uneven)));
+            assertEquals("1/1", reload(f, file(f, uneven.replace("\"deadlineMs\":5000.0", "\"deadline\":1"))));
+        }
+    }
 }
