--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -575,13 +575,14 @@
         return drained;
     }
 
-    /** By the classes of the latest file: whoever sends SIGKILL goes by them. */
+    /** By the classes of the latest file: whoever sends SIGKILL goes by them. One may state no deadline. */
     private long lastWordMs() {
         long longest = 0;
         for (Router.RequestClass c : kept) {
-            longest = Math.max(longest, c.deadlineUs / 1000);
+            long ms = c.deadlineUs > 0 ? c.deadlineUs / 1000 : KILL_DEADLINE_MOST_MS;
+            longest = Math.max(longest, Math.min(ms, KILL_DEADLINE_MOST_MS));
         }
-        return Math.min(longest, KILL_DEADLINE_MOST_MS) + KILL_AFTER_MS - LAST_WORD_BEFORE_MS;
+        return longest + KILL_AFTER_MS - LAST_WORD_BEFORE_MS;
     }
 
     private void lastWord() {
