A client that takes nothing of its answers is closed after 10 s

Closed after 10 s without room, as a relayed value's client is; a relay looks after its own. Begun is only what is up (NodeConnection.begin), whoever calls. Tests for what had none: another client's answer while 12 MiB lie untaken, a list that does not end, rooms renumbered at SIGHUP, a shorter idleCloseMs at SIGHUP, a dial that comes up late; ClientSessionTest.aClientThatTakesNothing... for this.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -17,6 +17,8 @@
     private static final int MOST_WAITING = 128;
     private static final String BUSY = "SERVER_ERROR busy";
     private static final String FAILED = "SERVER_ERROR failed";
+    /** One that takes nothing of its answers for so long has gone, though its end may never come. */
+    private static final int UNTAKEN_MS = 10_000;
     private static final int LINGER_MS = 500;
     private static final int LINGER_MOST_MS = 10_000;
     /** One that has sent no whole command is owed an error or its end within 3 s; it holds a place. */
@@ -43,6 +45,7 @@
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
     private Future<?> unheard;
+    private Future<?> stuck;
     /** When more of a large value came last. */
     private long moreUs = Long.MIN_VALUE / 2;
     /** Bytes of whole answers that the client has not taken. */
@@ -149,6 +152,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        watchTaking(ctx);
         if (!slots.isEmpty() && slots.peek().relay != null) {
             slots.peek().relay.pump();
         } else if (!slots.isEmpty() && channel.isWritable()) {
@@ -156,6 +160,19 @@
         }
     }
 
+    private void watchTaking(ChannelHandlerContext ctx) {
+        if (stuck != null && channel.isWritable()) {
+            stuck.cancel(false);
+            stuck = null;
+        } else if (stuck == null && !channel.isWritable()) {
+            stuck = ctx.executor().schedule(() -> {
+                if (slots.isEmpty() || slots.peek().relay == null) { // a relay looks after its own client
+                    channel.close();
+                }
+            }, UNTAKEN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     void answer(Slot slot, String line) {
         answer(slot, line(line));
     }
@@ -299,6 +316,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         unheard.cancel(false);
+        if (stuck != null) {
+            stuck.cancel(false);
+        }
         proxy.closed(this);
         for (Slot s : slots) {
             if (s.answer != null) {
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -76,14 +76,12 @@
         a.connection = this;
         wanted = true;
         unsent.add(a);
-        if (up) {
-            begin();
-        }
+        begin();
     }
 
     /** Begins what waits, each behind the whole of the one before it. */
     private void begin() {
-        while (!unsent.isEmpty() && sending.isEmpty() && !closed) {
+        while (up && !unsent.isEmpty() && sending.isEmpty() && !closed) {
             Attempt a = unsent.poll();
             if (mayBegin(a)) {
                 line.add(a);
--- a/src/test/java/holdproxy/net/ClientSessionTest.java
+++ b/src/test/java/holdproxy/net/ClientSessionTest.java
@@ -137,4 +137,56 @@
         assertEquals(40_000, answers);
         assertTrue(peer.isActive());
     }
+
+    /** A client whose socket takes nothing, behind so many requests for large values. */
+    private EmbeddedChannel hog(int requests, String value) {
+        EmbeddedChannel hog = new EmbeddedChannel(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                ctx.write(message);
+            }
+        });
+        hog.pipeline().addLast(proxy.handlers());
+        hog.pipeline().fireChannelActive();
+        for (int i = 0; i < requests; i++) {
+            hog.writeInbound(Rehearsal.bytes(Fixture.read("h" + i, 4000)));
+            served("h" + i, value);
+        }
+        return hog;
+    }
+
+    private void served(String id, String value) {
+        for (EmbeddedChannel node : List.copyOf(nodes.all)) {
+            if (Rehearsal.text(node).contains("O" + id + " ")) {
+                node.writeInbound(Rehearsal.bytes("VA " + value.length() + " O" + id + "\r\n" + value + "\r\n"));
+            }
+        }
+    }
+
+    @Test
+    void whatOthersDoNotTakeCostsNoClientItsConnectionOrItsAnswer() {
+        proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(new Router.Node(), "s-0",
+            new InetSocketAddress("127.0.0.1", 100))));
+        String value = "x".repeat(65_000);
+        List<EmbeddedChannel> hogs = List.of(hog(100, value), hog(100, value), hog(5, value));
+        EmbeddedChannel client = peer(Fixture.read("a1", 4000));
+        served("a1", value);
+        assertTrue(said(client).startsWith("VA 65000 Oa1"));
+        for (EmbeddedChannel open : List.of(client, hogs.get(0), hogs.get(1), hogs.get(2))) {
+            assertTrue(open.isActive());
+            open.finishAndReleaseAll();
+        }
+    }
+
+    @Test
+    void aClientThatTakesNothingOfItsAnswersDoesNotKeepItsPlace() {
+        EmbeddedChannel peer = peer("mn\r\n");
+        peer.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        peer.runPendingTasks();
+        peer.writeInbound(Rehearsal.bytes("mn\r\nms k 3 Od Pc=charge,t=acme,d=900,k=1\r\nabcdefg\r\n")); // framing lost
+        pass(peer, 9_000);
+        assertTrue(peer.isActive());
+        pass(peer, 1_001);
+        assertFalse(peer.isActive());
+    }
 }
--- a/src/test/java/holdproxy/net/DepartureTest.java
+++ b/src/test/java/holdproxy/net/DepartureTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -32,7 +35,7 @@
         try (Fixture f = new Fixture(2)) {
             Peer client = f.client();
             client.send(Fixture.read("a1", 4000));
-            Peer node = next(f);
+            Peer node = f.next();
             node.line();
             f.proxy.end(0);
             ended(f);
@@ -48,18 +51,6 @@
         }
     }
 
-    private static Peer next(Fixture f) throws Exception {
-        for (long end = System.nanoTime() + 10_000_000_000L; System.nanoTime() < end; Thread.onSpinWait()) {
-            for (Peer.Listener n : f.nodes) {
-                Peer p = n.poll();
-                if (p != null) {
-                    return p;
-                }
-            }
-        }
-        throw new AssertionError("no connection came");
-    }
-
     @Test
     void whileMoreOfItsRequestsWaitThanOneConnectionMayHave() throws Exception {
         try (Fixture f = new Fixture(2)) {
@@ -69,7 +60,7 @@
                 many.append(Fixture.read("a" + i, 4000));
             }
             client.send(many.toString());
-            Peer node = next(f);
+            Peer node = f.next();
             node.line();
             f.turn();
             assertTrue(f.active() >= 100, f.active() + " are taken");
@@ -163,6 +154,25 @@
         }
     }
 
+    /** The loop stood still while it was dialed: by how long a dial may take the module reckons its windows. */
+    @Test
+    void whatHasWaitedLongerThanADialMayTakeIsNotBegun() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Peer.Deaf deaf = new Peer.Deaf(); Fixture f = new Fixture(0, PATIENT, 1024, clock)) {
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(2, true, node("s-0", deaf.address(), "SERVING")));
+            listed(f, 1);
+            Peer client = f.client();
+            client.send(Fixture.write("submit", "k1", 29000));
+            f.turn();
+            clock.advance(21, TimeUnit.SECONDS); // of 20 s
+            Peer late = deaf.hear();
+            assertTrue(client.line().startsWith("SERVER_ERROR"));
+            assertEquals(0, f.proxy.figures().tries.get());
+            late.close();
+        }
+    }
+
     private static void listed(Fixture f, int nodes) throws Exception {
         while (f.proxy.figures().poolSize.get() != nodes) {
             Thread.onSpinWait();
--- a/src/test/java/holdproxy/net/Fixture.java
+++ b/src/test/java/holdproxy/net/Fixture.java
@@ -114,6 +114,19 @@
         return p;
     }
 
+    /** The next connection that comes to any of the nodes. */
+    Peer next() throws InterruptedException {
+        for (long end = System.nanoTime() + 10_000_000_000L; System.nanoTime() < end; Thread.onSpinWait()) {
+            for (Peer.Listener n : nodes) {
+                Peer p = n.poll();
+                if (p != null) {
+                    return p;
+                }
+            }
+        }
+        throw new AssertionError("no connection came");
+    }
+
     /** The watch that the module asked for, its request read and its answer begun. */
     Peer watch() throws IOException, InterruptedException {
         Peer p = discovery.next();
--- a/src/test/java/holdproxy/net/RetuningTest.java
+++ b/src/test/java/holdproxy/net/RetuningTest.java
@@ -34,18 +34,6 @@
             + f.proxy.figures().configRejected.get()).get();
     }
 
-    private static Peer next(Fixture f) throws InterruptedException {
-        for (long end = System.nanoTime() + 10_000_000_000L; System.nanoTime() < end; Thread.onSpinWait()) {
-            for (Peer.Listener n : f.nodes) {
-                Peer p = n.poll();
-                if (p != null) {
-                    return p;
-                }
-            }
-        }
-        throw new AssertionError("no connection came");
-    }
-
     private static void sent(Peer node) throws IOException {
         node.line();
         node.expect("hello");
@@ -83,19 +71,19 @@
         try (Fixture f = new Fixture(2)) {
             Peer client = f.client();
             client.send(Fixture.write("submit", "s1", 4000)); // keyed, 4 attempts: may be sent again
-            Peer node = next(f);
+            Peer node = f.next();
             sent(node);
             assertEquals("1/0", reload(f, file(f, SETTINGS.replace("\"effect\":\"token\"", "\"effect\":\"side_effect\"")
                 .replace("\"maxAttempts\":4", "\"maxAttempts\":1"))));
             node.reset();
-            Peer again = next(f);
+            Peer again = f.next();
             sent(again);
             again.send("HD Os1 c1\r\n");
             client.expect("HD Os1 c1");
             again.close();
             f.turn();
             client.send(Fixture.write("submit", "s2", 4000));
-            again = next(f);
+            again = f.next();
             sent(again);
             again.reset();
             client.expect("SERVER_ERROR failed"); // not refused: that would promise that it never ran
@@ -183,4 +171,18 @@
             assertEquals("1/1", reload(f, file(f, uneven.replace("\"deadlineMs\":5000.0", "\"deadline\":1"))));
         }
     }
+
+    @Test
+    void aShorterTimeToIdleHoldsForWhatIdlesAlready() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            node.line();
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+            assertEquals("1/0", reload(f, file(f, SETTINGS.replace("\"idleCloseMs\":30000.0", "\"idleCloseMs\":100.0"))));
+            node.expectEnd();
+        }
+    }
 }
--- a/src/test/java/holdproxy/net/WatchTimesTest.java
+++ b/src/test/java/holdproxy/net/WatchTimesTest.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.Channel;
@@ -193,4 +194,30 @@
             assertEquals(2, town.calls.size());
         }
     }
+
+    /** The empty lines that say that it lives go on behind it. */
+    @Test
+    void aListThatDoesNotEndEndsItsWatch() throws Exception {
+        Town town = new Town(1, asking(6_000, 6));
+        town.say(town.latest(), Fixture.list(2, true));
+        EmbeddedChannel watch = town.latest();
+        watch.writeInbound(Rehearsal.bytes("9\r\n{\"version\r\n"));
+        for (int i = 0; i < 3 && watch.isOpen(); i++) {
+            town.pass(2_000);
+            watch.writeInbound(Rehearsal.bytes("1\r\n\n\r\n"));
+        }
+        assertFalse(watch.isOpen());
+    }
+
+    @Test
+    void whereRoomsHaveOtherNumbersNowTheWholeListIsAskedFor() throws Exception {
+        Town town = new Town(1, asking(6_000, 6));
+        town.say(town.latest(), Fixture.list(7, true));
+        String swapped = asking(6_000, 6).replace("[\"east\",\"west\"]", "[\"west\",\"east\"]");
+        town.write("127.0.0.1:1", swapped, 1);
+        town.proxy.taken(town.config.reload(Fixture.env(town.file, "127.0.0.1:1")));
+        assertEquals(2, town.calls.size());
+        String call = Rehearsal.text(town.latest());
+        assertTrue(call.contains("stream=1&index=0 "), call);
+    }
 }
