--- /dev/null
+++ b/src/test/java/holdproxy/net/OneDialTest.java
@@ -0,0 +1,93 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.policy.Router;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two that wait for one dial, as no descriptor is left for a second one: the first has a large value. */
+class OneDialTest implements Transport {
+    private static final int MIB = 1 << 20;
+    /** Of 128 descriptors so many are for nodes. */
+    private static final int NODES = 24;
+    @TempDir
+    Path folder;
+    private final List<EmbeddedChannel> channels = new ArrayList<>();
+
+    /** The first is not up yet, all others are. */
+    @Override
+    public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+        boolean first = channels.isEmpty();
+        EmbeddedChannel channel = first ? new EmbeddedChannel(false, false, behind(new TakingTheHeadAlone(), handlers))
+            : new EmbeddedChannel(handlers);
+        channels.add(channel);
+        return first ? channel.newPromise() : channel.newSucceededFuture();
+    }
+
+    /** A socket that has no more room once it is up. */
+    private static final class TakingTheHeadAlone extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ctx.channel().unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+            ctx.fireChannelActive();
+        }
+    }
+
+    private static ChannelHandler[] behind(ChannelHandler first, ChannelHandler... others) {
+        return Stream.concat(Stream.of(first), Stream.of(others)).toArray(ChannelHandler[]::new);
+    }
+
+    @Override
+    public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void endSending(Channel channel) {
+        channel.close();
+    }
+
+    @Test
+    void theNextCommandComesBehindTheWholeOfALargeValue() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS.replace("\"multiplex\":1",
+            "\"multiplex\":4").replace("\"secondCopies\":false", "\"secondCopies\":true"), 128));
+        Time time = Time.system();
+        Proxy proxy = new Proxy(Config.load(Fixture.env(file, "127.0.0.1:1")), new EmbeddedChannel().eventLoop(), time,
+            this, new Log(time, line -> { }));
+        proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(new Router.Node(), "s-0",
+            new InetSocketAddress("127.0.0.1", 100))));
+        EmbeddedChannel client = new EmbeddedChannel(proxy.handlers());
+        client.writeInbound(Rehearsal.bytes("ms 7f " + MIB + " Ow1 Pc=lookup,t=acme,d=4000\r\n" + "x".repeat(MIB) + "\r\n"));
+        for (int i = 1; i < NODES; i++) {
+            client.writeInbound(Rehearsal.bytes(Fixture.read("a" + i, 4000)));
+        }
+        assertEquals(NODES, channels.size());
+        client.writeInbound(Rehearsal.bytes(Fixture.read("last", 4000)));
+        assertEquals(NODES, channels.size());
+        EmbeddedChannel dialed = channels.get(0);
+        dialed.register();
+        String head = Rehearsal.text(dialed);
+        assertTrue(head.startsWith("ms 7f ") && !head.contains("Olast"), head);
+        dialed.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        dialed.runPendingTasks();
+        String rest = Rehearsal.text(dialed);
+        assertEquals("x".repeat(MIB) + "\r\n", rest.substring(0, MIB + 2));
+        assertTrue(rest.substring(MIB + 2).contains("Olast"), rest.substring(MIB + 2));
+    }
+}
