The rig tells a process to end once it listens, so that no start is judged as a crash

Ruled out: the order of hooks in Service and Daemon; the processes' logs end before they listen. RigTown.end and restart sent SIGTERM to a process whose JVM was still starting, which no program can answer, and ended judged it by the same 0 as one that listens: whether it did by then was a matter of the machine's speed. Now both wait for "listening on", so each start has to come up too. RigTest.aProcessThatStillStarts... starts a life 50 ms before the end; without the change it failed with 143.

--- a/src/main/java/holdproxy/rig/RigTown.java
+++ b/src/main/java/holdproxy/rig/RigTown.java
@@ -333,12 +333,25 @@
     private void end() {
         ending = true;
         for (ServeProcess p : proxies) {
-            if (p.runs()) {
-                p.resume();
-                endsBy.putIfAbsent(p, "ended");
+            p.resume();
+            tellToEnd(p, () -> { });
+        }
+    }
+
+    /**
+     * SIGTERM, once it listens: one that still starts has no handler yet, and the signal itself would end it.
+     * {@code told} is run where it was told now, and neither before this nor ended meanwhile.
+     */
+    private void tellToEnd(ServeProcess p, Runnable told) {
+        if (!p.runs()) {
+            return;
+        }
+        ready.get(p).thenRun(() -> {
+            if (p.runs() && endsBy.putIfAbsent(p, "ended") == null) {
                 p.end();
+                told.run();
             }
-        }
+        });
     }
 
     // ---- faults ----
@@ -400,12 +413,11 @@
 
     private void restart(RigFault f) {
         ServeProcess p = proxies.get(f.target());
-        if (p.runs() && endsBy.putIfAbsent(p, "ended") == null) {
+        tellToEnd(p, () -> {
             put(p, "told to end");
-            p.end();
             front.use(f.target(), false);
             over.get(p).thenRun(() -> after(f.forS(), () -> start(p)));
-        }
+        });
     }
 
     private void crash(RigFault f) {
--- a/src/test/java/holdproxy/rig/RigTest.java
+++ b/src/test/java/holdproxy/rig/RigTest.java
@@ -92,6 +92,16 @@
             "one of five lives was killed");
     }
 
+    /** The end comes while a process starts: sooner than any Java program can have a handler of SIGTERM. */
+    @Test
+    void aProcessThatStillStartsAtTheEndIsAwaitedAndThenTold() throws Exception {
+        RigTown.Outcome outcome = play(new Schedule("test", 1, 3, false, new Schedule.Fleet(0, 0, 1_000, true), 1, 1,
+            Load.PLAIN, List.of(process(RigFault.Kind.KILL, 0.1, 2.85, 0)), List.of()), RigCommand::self);
+        assertEquals(List.of(), outcome.broken());
+        assertEquals(List.of("started", "killed", "started", "ended"), history().lines()
+            .filter(l -> l.contains(" FAULT proxy-0  ")).map(l -> l.substring(l.lastIndexOf(' ') + 1)).toList());
+    }
+
     @Test
     void twoHoldersAreFound() {
         assertEquals(List.of(), DutyJudge.broken(List.of(acted("proxy-0", "d 1 taken"), acted("proxy-1", "d 2 taken"),
