The module decides when all that came in a turn is read, lists before all else

After a standstill of the loop one turn reads all that had come meanwhile, in the order of its coming: a request that came just before a drain was sent to that node, as late as the loop was. Proxy.event ran the module within the read. Now its events are delivered when the turn has read every socket (Transport.whenRead; in memory at once), a list goes before those that wait, and a request whose client has left is not told at all. A node's end read in that turn is seen before its connection is taken. CrossingsTest: a drain behind a request, a drain behind a refusal, a node's end behind a write.

--- a/src/main/java/holdproxy/net/Members.java
+++ b/src/main/java/holdproxy/net/Members.java
@@ -43,7 +43,7 @@
                 listed.add(e.node().id);
             }
         }
-        proxy.event(() -> proxy.router.onNodes(proxy.now(), kind, nodes, nodes.length, proxy));
+        proxy.list(() -> proxy.router.onNodes(proxy.now(), kind, nodes, nodes.length, proxy));
         for (Router.Node n : nodes) {
             if (n.state != Router.NodeState.READY) {
                 left(n.id, n.state == Router.NodeState.GONE);
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -75,6 +75,7 @@
     private final Lateness lateness;
     final Counting counting;
     private boolean inEvent;
+    private boolean delivering;
     private long nextId = 1;
     private final Room values = new Room(MOST_HELD_BYTES);
     private long untakenBytes;
@@ -219,22 +220,49 @@
         return loop.scheduleAtFixedRate(task, ms, ms, TimeUnit.MILLISECONDS);
     }
 
-    /** The module's calls do not nest: what its actions bring about at once is delivered after its return. */
+    /**
+     * The module decides at the end of a turn, by all that had come until then: what is read first may have
+     * come last, or be the older by as long as the loop stood still. So nothing is sent to a node whose drain
+     * or end lies behind the request in that turn, nor for a client that has left in it. Its calls do not
+     * nest either.
+     */
     void event(Runnable call) {
         events.add(call);
+        if (!delivering) {
+            delivering = true;
+            transport.whenRead(this::deliver);
+        }
+    }
+
+    private void deliver() {
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                tell(next);
+            }
+        } finally {
+            delivering = false;
+        }
+    }
+
+    /** A list goes before what waits: nothing is decided by an older one than has come. */
+    void list(Runnable call) {
         if (inEvent) {
-            return;
+            event(call);
+        } else {
+            tell(call);
         }
+    }
+
+    private void tell(Runnable call) {
         inEvent = true;
-        for (Runnable next = events.poll(); next != null; next = events.poll()) {
-            try {
-                next.run();
-            } catch (RuntimeException e) {
-                StackTraceElement[] trace = e.getStackTrace();
-                log.line("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
-            }
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            log.line("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+        } finally {
+            inEvent = false;
         }
-        inEvent = false;
     }
 
     // ---- client connections ----
@@ -304,6 +332,9 @@
         x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
             TimeUnit.MICROSECONDS);
         event(() -> {
+            if (x.answered) {
+                return; // its client has left in this very turn
+            }
             c.fill(request);
             request.requestClass = type;
             request.id = x.id;
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -73,6 +73,12 @@
         return inherited != null;
     }
 
+    /** A turn of the loop reads every socket before it runs a task. */
+    @Override
+    public void whenRead(Runnable task) {
+        loop.execute(task);
+    }
+
     @Override
     public void endSending(Channel channel) {
         ((SocketChannel) channel).shutdownOutput();
--- a/src/main/java/holdproxy/net/Transport.java
+++ b/src/main/java/holdproxy/net/Transport.java
@@ -22,6 +22,11 @@
         return false;
     }
 
+    /** Runs this once all that has come so far is read: in memory, where one message comes at a time, now. */
+    default void whenRead(Runnable task) {
+        task.run();
+    }
+
     /** Ends the sending on a connection that came, behind what was written; it can still be read from. */
     void endSending(Channel channel);
 }
--- a/src/main/java/holdproxy/town/Clients.java
+++ b/src/main/java/holdproxy/town/Clients.java
@@ -124,6 +124,11 @@
             public void endSending(Channel channel) {
                 inner.endSending(channel);
             }
+
+            @Override
+            public void whenRead(Runnable task) {
+                inner.whenRead(task);
+            }
         };
     }
 
--- a/src/test/java/holdproxy/net/CrossingsTest.java
+++ b/src/test/java/holdproxy/net/CrossingsTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -139,6 +140,98 @@
         }
     }
 
+    /** Holds the loop while all of it comes, in this order: one turn reads it then, as after a standstill. */
+    private static void inOneTurn(Fixture f, Coming all) throws Exception {
+        f.turn(); // else what was read last would be looked at first
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        f.loop.execute(() -> {
+            stands.countDown();
+            try {
+                goesOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        all.come();
+        goesOn.countDown();
+    }
+
+    private interface Coming {
+        void come() throws Exception;
+    }
+
+    /** It may have been told long before: the loop is late by more than the grace, and reads the request first. */
+    @Test
+    void aDrainThatIsReadBehindARequestInOneTurnHoldsForIt() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            f.nodes.add(new Peer.Listener());
+            Peer watch = f.watch();
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer drains = f.nodes.get(0).next();
+            served(client, drains, "a1");
+            inOneTurn(f, () -> {
+                client.send(Fixture.read("a2", 4000));
+                Fixture.chunk(watch, Fixture.list(2, false, f.entry(0, "DRAINING"), f.entry(1, "SERVING")));
+            });
+            served(client, f.nodes.get(1).next(), "a2");
+            drains.expectEnd();
+        }
+    }
+
+    /** The same for what follows from an answer: here for the next attempt after a refusal. */
+    @Test
+    void aDrainThatIsReadBehindARefusalInOneTurnHoldsForTheNextAttempt() throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            f.nodes.add(new Peer.Listener());
+            Peer watch = f.watch();
+            Peer client = f.client();
+            Peer second = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer one = f.next();
+            second.send(Fixture.read("a2", 4000)); // the less busy of the two is taken: each has a connection then
+            Peer two = f.next();
+            served(client, one, "a1");
+            served(second, two, "a2");
+            client.send(Fixture.read("a3", 4000));
+            f.turn();
+            boolean first = one.socket.getInputStream().available() > 0;
+            Peer refuses = first ? one : two;
+            Peer drains = first ? two : one;
+            assertTrue(refuses.line().contains("Oa3 "));
+            int node = f.nodes.get(0).address().endsWith(":" + drains.socket.getLocalPort()) ? 0 : 1;
+            inOneTurn(f, () -> {
+                refuses.send("SERVER_ERROR busy\r\n");
+                Fixture.chunk(watch, Fixture.list(2, false, f.entry(node, "DRAINING"), f.entry(2, "SERVING")));
+            });
+            served(client, f.nodes.get(2).next(), "a3");
+            drains.expectEnd();
+        }
+    }
+
+    @Test
+    void aNodeThatEndsAConnectionInTheTurnOfARequestGetsItOnANewOne() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Fixture f = new Fixture(1, s -> s, 1024, clock)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer old = f.nodes.get(0).next();
+            served(client, old, "a1");
+            pass(f, clock, 1_000); // a write may go on it
+            inOneTurn(f, () -> {
+                client.send(Fixture.write("charge", "c1", 4000));
+                old.close();
+            });
+            Peer fresh = f.nodes.get(0).next();
+            assertTrue(fresh.line().contains("Oc1 "));
+            fresh.expect("hello");
+            fresh.send("HD Oc1 c7\r\n");
+            client.expect("HD Oc1 c7");
+        }
+    }
+
     @Test
     void aListMayComeIndentedAndInPieces() throws Exception {
         try (Fixture f = new Fixture(1)) {
