Where lists are pushed a silent agent is called again within the grace

Now the pause is a fifth of the grace and at most 0.1 s, with half of that for chance, and a dial takes half of the grace at most; a call costs no other proxy anything where the agent is this proxy's own.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -42,6 +42,8 @@
      */
     private static final int SILENCE_MS = 3000;
     private static final int CONNECT_MS = 2000;
+    /** Where lists are pushed a dial may take this part of the grace: 1 of so many. */
+    private static final int PUSHED_PART = 2;
 
     /** An entry of a list with the address and name that the module does not need. */
     record Entry(Router.Node node, String name, InetSocketAddress address) {
@@ -52,6 +54,7 @@
     private InetSocketAddress address;
     private List<?> zones;
     private List<?> kinds;
+    private int connectMs;
     private final Transport transport;
     private final Log log;
     private final Map<String, Integer> numbers = new HashMap<>();
@@ -65,10 +68,18 @@
         address = config.discovery;
         zones = config.zones;
         kinds = config.kinds;
+        connectMs = connectMs(config.settings);
         this.transport = transport;
         this.log = log;
     }
 
+    /** What is pushed counts at once: a dial that does not come up must not outlast the grace. */
+    private static int connectMs(Router.Settings settings) {
+        long graceMs = settings.drainGraceUs / 1000;
+        return settings.askForNodes || graceMs == 0 ? CONNECT_MS
+            : (int) Math.max(1, Math.min(CONNECT_MS, graceMs / PUSHED_PART));
+    }
+
     /** The list that the configuration holds. */
     void start() {
         List<Entry> entries = entries(config.known);
@@ -100,6 +111,7 @@
         boolean moved = !now.discovery.equals(address);
         zones = now.zones;
         kinds = now.kinds;
+        connectMs = connectMs(now.settings);
         if (moved) {
             log.line("discovery is now at " + now.discovery);
             address = now.discovery;
@@ -213,7 +225,7 @@
 
         Call(String path, boolean stream) {
             this.stream = stream;
-            ChannelFuture connected = transport.connect(address, CONNECT_MS,
+            ChannelFuture connected = transport.connect(address, connectMs,
                 new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS), new HttpClientCodec(), this);
             channel = connected.channel();
             connected.addListener((ChannelFutureListener) f -> {
--- a/src/main/java/holdproxy/policy/Choice.java
+++ b/src/main/java/holdproxy/policy/Choice.java
@@ -34,6 +34,8 @@
     static final double SILENT_SPREAD_US = 1_500_000;
     static final double SILENT_US_PER_ROUTER = 250_000;
     static final long PUSHED_RETRY_US = 100_000;
+    // Pushed lists count at once: pause, dial (at most half) and answer together stay within the grace.
+    static final double PUSHED_RETRY_PART = 0.2;
     static final long REPORT_EVERY_US = 20_000_000;
     static final int TIMER_ASK = 0;
     static final int TIMER_COPY = 1;
@@ -103,12 +105,14 @@
     /**
      * When to ask again. A silent watch is opened anew before what it misses counts as told, spread over no
      * more than that leaves, as all proxies may have met the silence at once; a discovery that is down is
-     * left alone longer each time, since all others call too. Lists that are pushed count at once, and come
-     * from an agent of this proxy's own.
+     * left alone longer each time, since all others call too. Lists that are pushed count at once, also those
+     * that come when a silent agent is back, and it is this proxy's own.
      */
     private double askAgainUs(ListKind kind) {
         if (!set.askForNodes) {
-            return PUSHED_RETRY_US * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
+            askFailures++;
+            double within = set.drainGraceUs > 0 ? PUSHED_RETRY_PART * set.drainGraceUs : PUSHED_RETRY_US;
+            return Math.min(PUSHED_RETRY_US, within) * (0.5 + random.unit());
         }
         if (kind == ListKind.SILENT) {
             return random.unit() * Math.min(SILENT_SPREAD_US, SILENT_US_PER_ROUTER * set.routers);
--- a/src/test/java/holdproxy/net/WatchTimesTest.java
+++ b/src/test/java/holdproxy/net/WatchTimesTest.java
@@ -43,6 +43,8 @@
         private final Config config;
         private final Proxy proxy;
         private boolean down;
+        /** Of the latest dial. */
+        private int timeoutMs;
 
         Town(long seed, String settings) throws Exception {
             write("127.0.0.1:1", settings, seed);
@@ -61,6 +63,7 @@
         @Override
         public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
             called.add(address);
+            this.timeoutMs = timeoutMs;
             EmbeddedChannel channel = EmbeddedChannel.builder().ticker(ticker).handlers(handlers).build();
             calls.add(channel);
             if (down) {
@@ -151,6 +154,23 @@
         }
     }
 
+    /** What a silent agent gets at its return counts at once: dial and pause are over within the grace. */
+    @Test
+    void wherePushedListsStopTheNextDialIsUpWithinTheGraceOfItsReturn() throws Exception {
+        for (int grace : new int[] {100, 300, 1_000}) {
+            for (long seed = 1; seed <= SEEDS; seed++) {
+                Town town = new Town(seed, Fixture.SETTINGS.replace("\"subscribe\"", "\"automatic\"")
+                    .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":" + grace));
+                town.down = true;
+                town.latest().close();
+                for (int i = 0; i < 6; i++) {
+                    int took = town.passUntilCall(town.calls.size() + 1, 60_000);
+                    assertTrue(took + town.timeoutMs < grace, took + " and " + town.timeoutMs + " ms of " + grace);
+                }
+            }
+        }
+    }
+
     @Test
     void aDiscoveryThatIsDownIsAskedAgainWithinTheTimeThatTheSettingsAllow() throws Exception {
         for (int within : new int[] {800, 2_000, 8_000}) {
