Where lists are pushed a process listens once it has the first list

Found by reading: what the agent has counts from the first moment of a new process, whose start takes longer than the grace; Service.listen opened the socket without waiting, so that a first request could go by the configuration's list, which may be old, to a node that drains. Now it waits for the first list as an upgrade does, for 0.5 s at most (discovery may be down; then there is none to go by). CrossingsTest.wherePushedListsCountFromTheStart... holds the list back until the start waits for it; without the change it failed ("it listens and has no list yet").

--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -32,6 +32,8 @@
     private static final String KEPT = "left-out";
     /** So long clients are left to another process until discovery has told this one of the nodes. */
     private static final int FIRST_LIST_MS = 2_000;
+    /** Where lists are pushed; while discovery is down there is none, and clients have waited for long. */
+    private static final int FIRST_PUSHED_MS = 500;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
 
@@ -144,10 +146,7 @@
 
     private static void listen(Proxy proxy, Config config, EventLoop loop, boolean inherited) {
         try {
-            if (inherited) {
-                // the other process serves on meanwhile; what it knows of the nodes this one should know too
-                proxy.members().first().await(FIRST_LIST_MS);
-            }
+            awaitFirstList(proxy, config, inherited);
             ChannelFuture bound = proxy.listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
                 // after a restart the one before may hold the address a moment longer
@@ -168,6 +167,17 @@
         }
     }
 
+    /**
+     * Nobody is served by the list of the configuration, which may be old, where a newer one binds already:
+     * the other process, which serves on meanwhile, goes by it, or it is pushed and counts from the start on.
+     */
+    private static void awaitFirstList(Proxy proxy, Config config, boolean inherited)
+            throws InterruptedException {
+        if (inherited || !config.settings.askForNodes) {
+            proxy.members().first().await(inherited ? FIRST_LIST_MS : FIRST_PUSHED_MS);
+        }
+    }
+
     /** Null where nobody calls: then nothing is looked up either. */
     private static KeptOut kept(Config config, Map<String, String> env, Log log) {
         if (config.console == null) {
--- a/src/test/java/holdproxy/net/CrossingsTest.java
+++ b/src/test/java/holdproxy/net/CrossingsTest.java
@@ -3,12 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Two events at one connection to a node in their bad order, which the test causes each time. */
 @Timeout(60)
@@ -252,6 +258,45 @@
         }
     }
 
+    /** What is pushed counts from the process's first moment on, and its own list may be older. */
+    @Test
+    void wherePushedListsCountFromTheStartNobodyIsTakenBeforeTheFirst(@TempDir Path folder) throws Exception {
+        EventLoop loop = Service.loop(new Turns());
+        try (Peer.Listener drains = new Peer.Listener(); Peer.Listener serves = new Peer.Listener();
+                Peer.Listener discovery = new Peer.Listener()) {
+            String old = "{\"id\":\"s-0\",\"addr\":\"" + drains.address() + "\",\"state\":\"SERVING\"}";
+            String fresh = "{\"id\":\"s-1\",\"addr\":\"" + serves.address() + "\",\"state\":\"SERVING\"}";
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, Fixture.json(Fixture.list(1, true, old),
+                Fixture.SETTINGS.replace("\"subscribe\"", "\"automatic\""), 1024));
+            CompletableFuture<Proxy> started = new CompletableFuture<>();
+            Config config = Config.load(Fixture.env(file, discovery.address()));
+            Thread starting = new Thread(() -> started.complete(Service.start(config, loop, null, null, null)));
+            starting.start();
+            Peer watch = discovery.next();
+            for (String line = watch.line(); !line.isEmpty(); line = watch.line()) {
+                // the request's lines
+            }
+            boolean waits = false;
+            while (starting.isAlive() && !waits) {
+                waits = Arrays.stream(starting.getStackTrace()).anyMatch(e -> e.getMethodName().equals("awaitFirstList"));
+            }
+            assertTrue(waits, "it listens and has no list yet");
+            watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Fixture.chunk(watch, Fixture.list(2, true, old.replace("SERVING", "DRAINING"), fresh));
+            Proxy proxy = started.get();
+            while (proxy.figures().poolSize.get() != 2) {
+                Thread.onSpinWait();
+            }
+            try (Peer client = Peer.to(proxy.address())) {
+                client.send(Fixture.read("a1", 4000));
+                served(client, serves.next(), "a1");
+            }
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     /** Each of these ends the watch, and what is held stays. */
     @Test
     void whatIsNoListEndsTheWatchAlone() throws Exception {
