At the end the listener closes behind a turn that brought no connection

Found by reading: Proxy.stopListening closed the listener and every connection with nothing open in the turn of its timer. A turn accepts sixteen connections and reads a new one in the next turn: what else lay in the kernel was reset, and what had just been accepted was ended with its request unread. New connections come for 0.4 s after SIGTERM and the timer is at 0.5 s, so the loop has to be late by 0.1 s; clients that come again at once bring many then. Now it is looked each millisecond, 0.1 s at most, until a turn has brought none.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -36,6 +36,8 @@
     private static final long OVERDUE_US = 15_000;
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     private static final long DRAIN_OPEN_MS = 500;
+    /** So often it is looked, a millisecond apart, whether the kernel has more connections for us. */
+    private static final int LAST_LOOKS = 100;
     /**
      * SIGKILL comes no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s after
      * SIGTERM: what is open so much before is failed, as a request without an answer would be lost.
@@ -67,6 +69,8 @@
     /** Idle connections, longest first. */
     private final Set<ClientSession> idle = new LinkedHashSet<>();
     private final int mostSessions;
+    /** Client connections that ever came. */
+    private long opened;
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final Members members;
@@ -268,6 +272,7 @@
     // ---- client connections ----
 
     void opened(ClientSession s) {
+        opened++;
         sessions.add(s);
         if (sessions.size() > mostSessions) {
             // between requests a connection may be closed: the one that has been idle longest makes room
@@ -600,7 +605,7 @@
             if (handingOver) {
                 listener.config().setAutoRead(false);
             }
-            loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> stopListening(-1, LAST_LOOKS), openMs, TimeUnit.MILLISECONDS);
             loop.schedule(this::lastWord, lastWordMs(), TimeUnit.MILLISECONDS);
         });
         return drained;
@@ -622,7 +627,16 @@
         }
     }
 
-    private void stopListening() {
+    /**
+     * Not before a turn that brought no connection: after a standstill of the loop many may lie in the
+     * kernel, and closed with the listener, or accepted and not read yet, they would have no answer.
+     */
+    private void stopListening(long openedBefore, int looks) {
+        if (looks > 0 && opened != openedBefore) {
+            long now = opened;
+            loop.schedule(() -> stopListening(now, looks - 1), 1, TimeUnit.MILLISECONDS);
+            return;
+        }
         if (!handingOver) {
             listener.close();
         }
--- a/src/test/java/holdproxy/net/CrossingsTest.java
+++ b/src/test/java/holdproxy/net/CrossingsTest.java
@@ -8,7 +8,9 @@
 import io.netty.util.concurrent.Ticker;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -149,9 +151,15 @@
     /** Holds the loop while all of it comes, in this order: one turn reads it then, as after a standstill. */
     private static void inOneTurn(Fixture f, Coming all) throws Exception {
         f.turn(); // else what was read last would be looked at first
+        held(f, () -> { }, all);
+    }
+
+    /** Holds the loop, which has begun with {@code first}, while all of it comes. */
+    private static void held(Fixture f, Runnable first, Coming all) throws Exception {
         CountDownLatch stands = new CountDownLatch(1);
         CountDownLatch goesOn = new CountDownLatch(1);
         f.loop.execute(() -> {
+            first.run();
             stands.countDown();
             try {
                 goesOn.await();
@@ -258,6 +266,26 @@
         }
     }
 
+    /** More than one turn accepts: the loop stood still for the last of the time in which connections come. */
+    @Test
+    void whatTheKernelHasAcceptedBeforeTheEndIsTakenAndAnswered() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            List<Peer> late = new ArrayList<>();
+            f.turn();
+            held(f, () -> f.proxy.end(0), () -> {
+                for (int i = 0; i < 60; i++) {
+                    Peer p = f.client();
+                    p.send("mn\r\n");
+                    late.add(p);
+                }
+            });
+            for (Peer p : late) {
+                p.expect("MN");
+                p.expectEnd();
+            }
+        }
+    }
+
     /** What is pushed counts from the process's first moment on, and its own list may be older. */
     @Test
     void wherePushedListsCountFromTheStartNobodyIsTakenBeforeTheFirst(@TempDir Path folder) throws Exception {
