After a standstill ends of connections are read before anything is sent on

Found by reading, and by a test that did not hold at first: a turn reads what has come on a connection, but its end only in the next turn, since less came than was room for. CrossingsTest.aClientThatSentAndLeft... holds the loop and moves its clock by 0.4 s; without the change it failed (two tries instead of one).

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -47,6 +47,8 @@
     private static final long LAST_WORD_BEFORE_MS = 150;
     /** A time-out is the proxy's own if its loop stood still for this part of the wait: 1 of so many. */
     private static final int OWN_PART = 4;
+    /** Nothing is sent on for who left 0.3 s ago: after a third of that ends are looked for first. */
+    private static final long LONG_STILL_US = 100_000;
     /** For so long a class that new settings have dropped is still served: its requests were under way. */
     private static final int DROPPED_MS = 5_000;
 
@@ -234,7 +236,7 @@
         events.add(call);
         if (!delivering) {
             delivering = true;
-            transport.whenRead(this::deliver);
+            transport.whenRead(this::deliver, justStoodStillUs(now()) > LONG_STILL_US);
         }
     }
 
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** TCP, all of it on one event loop. */
@@ -73,10 +74,17 @@
         return inherited != null;
     }
 
-    /** A turn of the loop reads every socket before it runs a task. */
+    /**
+     * A turn of the loop reads every socket before it runs a task; what lies behind the first bytes of one,
+     * and its end, it reads in the next turn.
+     */
     @Override
-    public void whenRead(Runnable task) {
-        loop.execute(task);
+    public void whenRead(Runnable task, boolean late) {
+        if (late) {
+            loop.schedule(task, 1, TimeUnit.MILLISECONDS);
+        } else {
+            loop.execute(task);
+        }
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Transport.java
+++ b/src/main/java/holdproxy/net/Transport.java
@@ -22,8 +22,11 @@
         return false;
     }
 
-    /** Runs this once all that has come so far is read: in memory, where one message comes at a time, now. */
-    default void whenRead(Runnable task) {
+    /**
+     * Runs this once all that has come so far is read: in memory, where one message comes at a time, now.
+     * {@code late}: the loop stood still, and the end of a connection may lie behind what was read from it.
+     */
+    default void whenRead(Runnable task, boolean late) {
         task.run();
     }
 
--- a/src/main/java/holdproxy/town/Clients.java
+++ b/src/main/java/holdproxy/town/Clients.java
@@ -126,8 +126,8 @@
             }
 
             @Override
-            public void whenRead(Runnable task) {
-                inner.whenRead(task);
+            public void whenRead(Runnable task, boolean late) {
+                inner.whenRead(task, late);
             }
         };
     }
--- a/src/test/java/holdproxy/net/CrossingsTest.java
+++ b/src/test/java/holdproxy/net/CrossingsTest.java
@@ -266,6 +266,25 @@
         }
     }
 
+    /** Its end lies behind its request, which one reading of the socket does not reach. */
+    @Test
+    void aClientThatSentAndLeftWhileTheLoopStoodStillHasNothingSentOn() throws Exception {
+        MockTicker clock = Ticker.newMockTicker();
+        try (Fixture f = new Fixture(1, s -> s, 1024, clock)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            served(client, f.nodes.get(0).next(), "a1");
+            pass(f, clock, 10);
+            inOneTurn(f, () -> {
+                client.send(Fixture.read("a2", 4000));
+                client.close();
+                clock.advance(400, TimeUnit.MILLISECONDS); // it left so long ago
+            });
+            assertEquals(0, f.active());
+            assertEquals(1, f.proxy.figures().tries.get());
+        }
+    }
+
     /** More than one turn accepts: the loop stood still for the last of the time in which connections come. */
     @Test
     void whatTheKernelHasAcceptedBeforeTheEndIsTakenAndAnswered() throws Exception {
