The loop alone opens the listener, so that SIGTERM right behind the first answer finds it

Found by reading: Service.listen called Proxy.listen on the thread that starts the process, which put down the listener after the loop had bound it; between the two, clients were accepted and greeted. SIGTERM then found no listener, held that nobody had been taken, and ended as soon as no connection was open, with the socket still bound and connections coming, which are reset; the last word was not scheduled either. A process told to end while it waits for its address bound it all the same. Now the loop listens, and not once it was told to end.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -180,7 +180,11 @@
         }
     }
 
+    /** On the loop: no client is accepted before it is known where. Null: it was told to end. */
     ChannelFuture listen() {
+        if (draining) {
+            return null;
+        }
         ChannelFuture bound = transport.listen(config.listen, this::handlers);
         listener = bound.channel();
         bound.addListener(f -> listening = f.isSuccess());
--- a/src/main/java/holdproxy/net/Service.java
+++ b/src/main/java/holdproxy/net/Service.java
@@ -97,7 +97,11 @@
 
     /** Says that all signals are heeded from here on: for who has seen to SIGTERM. */
     public void listening() {
-        say("listening on " + proxy.address());
+        loop.execute(() -> {
+            if (proxy.takesClients()) {
+                proxy.log("listening on " + proxy.address());
+            }
+        });
     }
 
     static EventLoop loop(Turns turns) {
@@ -144,19 +148,19 @@
         }
     }
 
-    private static void listen(Proxy proxy, Config config, EventLoop loop, boolean inherited) {
+    static void listen(Proxy proxy, Config config, EventLoop loop, boolean inherited) {
         try {
             awaitFirstList(proxy, config, inherited);
-            ChannelFuture bound = proxy.listen().await();
-            for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
+            ChannelFuture bound = bound(proxy, loop);
+            for (int i = 0; i < BIND_TRIES && bound != null && bound.cause() instanceof BindException; i++) {
                 // after a restart the one before may hold the address a moment longer
                 if (i == 0) {
                     loop.execute(() -> proxy.log("waiting for " + config.listen + ", which is in use"));
                 }
                 Thread.sleep(BIND_WAIT_MS);
-                bound = proxy.listen().await();
+                bound = bound(proxy, loop);
             }
-            if (!bound.isSuccess()) {
+            if (bound != null && !bound.isSuccess()) {
                 throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
             }
             loop.submit(() -> { }).get(); // the proxy itself has heard of it, and says so
@@ -167,6 +171,13 @@
         }
     }
 
+    /** Null: it was told to end meanwhile. */
+    private static ChannelFuture bound(Proxy proxy, EventLoop loop)
+            throws InterruptedException, ExecutionException {
+        ChannelFuture bound = loop.submit(proxy::listen).get();
+        return bound == null ? null : bound.await();
+    }
+
     /**
      * Nobody is served by the list of the configuration, which may be old, where a newer one binds already:
      * the other process, which serves on meanwhile, goes by it, or it is pushed and counts from the start on.
--- a/src/test/java/holdproxy/net/CrossingsTest.java
+++ b/src/test/java/holdproxy/net/CrossingsTest.java
@@ -3,9 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +19,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -266,6 +273,81 @@
         }
     }
 
+    /**
+     * SIGTERM right behind the first answer: the thread that starts it has the socket bound, and stands where it
+     * would put down which it is.
+     */
+    @Test
+    void toldToEndAsSoonAsItListensItGoesOnWhileConnectionsCome(@TempDir Path folder) throws Exception {
+        EventLoop loop = Service.loop(new Turns());
+        try (Peer.Listener node = new Peer.Listener(); Peer.Listener discovery = new Peer.Listener()) {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, Fixture.json(Fixture.list(1, true, "{\"id\":\"s-0\",\"addr\":\"" + node.address()
+                + "\",\"state\":\"SERVING\"}"), Fixture.SETTINGS, 1024));
+            Config config = Config.load(Fixture.env(file, discovery.address()));
+            Sockets sockets = new Sockets(loop, null);
+            AtomicReference<Proxy> proxy = new AtomicReference<>();
+            List<Boolean> endedAtOnce = new ArrayList<>();
+            Told told = address -> {
+                Future<Void> ended;
+                try (Peer client = Peer.to(address)) {
+                    client.send("mn\r\n");
+                    client.expect("MN");
+                    client.send(Fixture.read("a1", 4000));
+                    Peer at = node.next();
+                    ended = proxy.get().end(60_000);
+                    served(client, at, "a1");
+                }
+                for (int i = 0; i < 5; i++) {
+                    loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).get();
+                }
+                endedAtOnce.add(ended.isDone());
+            };
+            Transport transport = new Transport() {
+                @Override
+                public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+                    return sockets.connect(address, timeoutMs, handlers);
+                }
+
+                @Override
+                public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+                    ChannelFuture bound = sockets.listen(address, handlers);
+                    if (!loop.inEventLoop()) {
+                        told.toEnd((InetSocketAddress) bound.syncUninterruptibly().channel().localAddress());
+                    }
+                    return bound;
+                }
+
+                @Override
+                public void endSending(Channel channel) {
+                    sockets.endSending(channel);
+                }
+            };
+            Time time = Time.system();
+            proxy.set(loop.submit(() -> new Proxy(config, loop, time, transport, new Log(time, line -> { }))).get());
+            loop.submit(proxy.get()::begin).get();
+            Service.listen(proxy.get(), config, loop, false);
+            if (endedAtOnce.isEmpty()) {
+                told.toEnd(proxy.get().address());
+            }
+            assertEquals(List.of(false), endedAtOnce);
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private interface Told {
+        void with(InetSocketAddress address) throws Exception;
+
+        default void toEnd(InetSocketAddress address) {
+            try {
+                with(address);
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
     /** Its end lies behind its request, which one reading of the socket does not reach. */
     @Test
     void aClientThatSentAndLeftWhileTheLoopStoodStillHasNothingSentOn() throws Exception {
