A slice of a large value is written once, also where its own write makes room

Found by reading: NodeConnection.send counted a slice after it had been written. A write that is flushed may make room in the connection's buffer, of which Netty tells within the same call (ChannelOutboundBuffer.remove); channelWritabilityChanged calls send, which wrote the same slice again, and the node got a value with 32 KiB twice and its end missing. It takes a node that takes much in the moment of a write while over 32 KiB wait. Each of a value's bytes is put down before it is written now.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -117,11 +117,16 @@
         while (!sending.isEmpty() && channel.isWritable() && !closed) {
             Attempt a = sending.peek();
             Command c = a.exchange.command;
-            ChannelFuture written = channel.writeAndFlush(c.slice(sent, SLICE_BYTES));
+            int from = sent;
             sent += SLICE_BYTES;
-            if (sent >= c.valueBytes()) {
+            boolean last = sent >= c.valueBytes();
+            if (last) {
                 sent = 0;
                 sending.poll();
+            }
+            // the write may make room, which comes back here: what this slice is has been put down before
+            ChannelFuture written = channel.writeAndFlush(c.slice(from, SLICE_BYTES));
+            if (last) {
                 written.addListener(f -> written(a, f.isSuccess()));
             }
         }
--- /dev/null
+++ b/src/test/java/holdproxy/net/LargeWriteTest.java
@@ -0,0 +1,93 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.policy.Router;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Values that go out to a node in slices, while the node takes them. */
+@Timeout(60)
+class LargeWriteTest {
+    private static String write(int bytes) {
+        return "ms 7f3a9c21e0b4d655 " + bytes + " Ok1 Pc=submit,t=acme,d=50000,k=5c0f\r\n";
+    }
+
+    /** Room in the socket that a flush makes is told of within that flush. */
+    private static final class RoomAtOnce extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            ctx.write(message, promise);
+            ctx.fireChannelWritabilityChanged();
+        }
+    }
+
+    @Test
+    void aSliceIsWrittenOnceWhereItsOwnWriteMakesRoom(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+        List<EmbeddedChannel> nodes = new ArrayList<>();
+        Transport transport = new Transport() {
+            @Override
+            public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
+                EmbeddedChannel node = new EmbeddedChannel(Stream.concat(Stream.of(new RoomAtOnce()), Stream.of(handlers))
+                    .toArray(ChannelHandler[]::new));
+                nodes.add(node);
+                return node.newSucceededFuture();
+            }
+
+            @Override
+            public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) {
+                throw new UnsupportedOperationException();
+            }
+
+            @Override
+            public void endSending(Channel channel) {
+                channel.close();
+            }
+        };
+        Time time = Time.system();
+        Proxy proxy = new Proxy(config, new EmbeddedChannel().eventLoop(), time, transport, new Log(time, line -> { }));
+        proxy.nodes(Router.ListKind.CACHED, List.of(new Discovery.Entry(new Router.Node(), "s-0", config.listen)));
+        EmbeddedChannel client = new EmbeddedChannel(proxy.handlers());
+        byte[] value = new byte[300_000];
+        for (int i = 0; i < value.length; i++) {
+            value[i] = (byte) (i / 32_768 + i * 7);
+        }
+        client.writeInbound(Rehearsal.bytes(write(value.length)), Unpooled.wrappedBuffer(value),
+            Rehearsal.bytes("\r\n"));
+        EmbeddedChannel node = nodes.get(nodes.size() - 1);
+        ByteArrayOutputStream came = new ByteArrayOutputStream();
+        ByteBuf head = node.readOutbound();
+        assertTrue(head.toString(StandardCharsets.ISO_8859_1).endsWith("k=5c0f\r\n"));
+        for (ByteBuf b = node.readOutbound(); b != null; b = node.readOutbound()) {
+            b.readBytes(came, b.readableBytes());
+        }
+        byte[] wanted = Arrays.copyOf(value, value.length + 2);
+        wanted[value.length] = '\r';
+        wanted[value.length + 1] = '\n';
+        assertArrayEquals(wanted, came.toByteArray());
+    }
+}
