A large write that is repeated is broken off before its window is over

The module sends a keyed write again only where a dial still fits into the window, but a value over 64 KiB goes out in slices, as its node takes them: the last byte could come behind the window, and the write ran twice. Now an attempt knows by when its last byte has to be out, counted from the sending of the first one that may have run, by the settings that its request came under; one that is late is broken off before that, which proves that it never ran. LargeWriteTest.aRepeatWhoseLastByte... has 60 ms pass with each look at the clock; without the change it failed: all 4 MiB came.

--- a/src/main/java/holdproxy/net/Attempt.java
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -15,6 +15,10 @@
     /** Whether its last byte has gone to the kernel: from there on it may run. */
     boolean written;
     boolean over;
+    /** Its outcome proves that the node did no work on it. */
+    boolean neverRan;
+    /** When its last byte has to be out at the latest; one that is late is broken off before that. */
+    final long lastByteByUs;
     /** What the first bytes of a value that is relayed took, less our own standstills; -1: none have come. */
     long firstBytesUs = -1;
     NodeConnection connection;
@@ -26,6 +30,7 @@
         this.sentUs = sentUs;
         this.stoodStillUs = stoodStillUs;
         this.waitUs = waitUs;
+        lastByteByUs = exchange.lastByteByUs();
     }
 
     /** What a broken connection means for it. */
--- a/src/main/java/holdproxy/net/Exchange.java
+++ b/src/main/java/holdproxy/net/Exchange.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import holdproxy.policy.Router;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,19 +16,33 @@
     final int maxAttempts;
     /** Whether it may run twice, likewise. */
     final boolean repeatable;
+    /** For so long after the sending of an attempt that may have run another one does nothing, likewise. */
+    private final long repeatWindowUs;
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean answered;
     Future<?> overdue;
 
     Exchange(long id, Command command, ClientSession session, ClientSession.Slot slot, long dueUs,
-            int maxAttempts, boolean repeatable) {
+            int maxAttempts, Router.RequestClass type) {
         this.id = id;
         this.command = command;
         this.session = session;
         this.slot = slot;
         this.dueUs = dueUs;
         this.maxAttempts = maxAttempts;
-        this.repeatable = repeatable;
+        repeatable = type.effect == Router.Effect.SAFE;
+        repeatWindowUs = type.repeatWindowUs;
+    }
+
+    /** When the last byte of a next attempt has to be out: from then on it might run a second time. */
+    long lastByteByUs() {
+        long by = Long.MAX_VALUE;
+        for (Attempt a : attempts) {
+            if (!repeatable && !a.neverRan) {
+                by = Math.min(by, a.sentUs + repeatWindowUs);
+            }
+        }
+        return by;
     }
 }
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -116,6 +116,12 @@
     private void send() {
         while (!sending.isEmpty() && channel.isWritable() && !closed) {
             Attempt a = sending.peek();
+            if (pool.pools.proxy.now() >= a.lastByteByUs) {
+                line.remove(a);
+                end(a, Router.Outcome.NOT_SENT, null); // whole it might run a second time
+                close();
+                return;
+            }
             Command c = a.exchange.command;
             int from = sent;
             sent += SLICE_BYTES;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -337,7 +337,7 @@
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
         long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - lateness.justNowUs(now);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs, settings.maxAttempts,
-            settings.classes[type].effect == Router.Effect.SAFE);
+            settings.classes[type]);
         table.put(x.id, x);
         figures.active.add(1);
         x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
@@ -422,6 +422,7 @@
     void ended(Attempt a, Router.Outcome outcome, Answer answer) {
         Exchange x = a.exchange;
         a.over = true;
+        a.neverRan = outcome.neverRan;
         a.timer.cancel(false);
         x.out--;
         if (outcome == Router.Outcome.OK && !x.answered) {
--- a/src/test/java/holdproxy/net/LargeWriteTest.java
+++ b/src/test/java/holdproxy/net/LargeWriteTest.java
@@ -1,6 +1,8 @@
 package holdproxy.net;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.policy.Router;
@@ -13,14 +15,19 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -30,6 +37,8 @@
 /** Values that go out to a node in slices, while the node takes them. */
 @Timeout(60)
 class LargeWriteTest {
+    private static final int BYTES = 4 << 20;
+
     private static String write(int bytes) {
         return "ms 7f3a9c21e0b4d655 " + bytes + " Ok1 Pc=submit,t=acme,d=50000,k=5c0f\r\n";
     }
@@ -90,4 +99,59 @@
         wanted[value.length + 1] = '\n';
         assertArrayEquals(wanted, came.toByteArray());
     }
+
+    /** A clock that, once told to, has 60 ms pass between any two looks at it. */
+    private static final class Moving implements Ticker {
+        private final MockTicker clock = Ticker.newMockTicker();
+        private volatile boolean moves;
+
+        @Override
+        public long initialNanoTime() {
+            return clock.initialNanoTime();
+        }
+
+        @Override
+        public long nanoTime() {
+            if (moves) {
+                clock.advance(60, TimeUnit.MILLISECONDS);
+            }
+            return clock.nanoTime();
+        }
+
+        @Override
+        public void sleep(long delay, TimeUnit unit) throws InterruptedException {
+            clock.sleep(delay, unit);
+        }
+    }
+
+    private static boolean whole(Peer from) throws IOException {
+        try {
+            return from.line() != null;
+        } catch (SocketException e) {
+            return false; // reset
+        }
+    }
+
+    /** It may have run, and is repeated within its window of 5 s; its 128 slices take 7 s. */
+    @Test
+    void aRepeatWhoseLastByteWouldComeBehindItsWindowIsBrokenOff() throws Exception {
+        Moving clock = new Moving();
+        try (Fixture f = new Fixture(2, s -> s.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0")
+                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":2000.0")
+                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":60000.0"), 1024, clock)) {
+            Peer client = f.client();
+            String value = "x".repeat(BYTES);
+            client.send(write(BYTES) + value + "\r\n");
+            Peer first = f.next();
+            assertTrue(first.line().contains("Ok1 "));
+            first.expect(value);
+            clock.moves = true;
+            first.reset();
+            Peer second = f.next();
+            assertTrue(second.line().contains("Ok1 "));
+            assertFalse(whole(second), "all of it came");
+            assertTrue(client.line().startsWith("SERVER_ERROR busy"));
+            assertEquals(1, f.proxy.figures().tries.get());
+        }
+    }
 }
