The next command waits also while the line of a large value is written

It takes two that wait for one dial, which is shared only for want of descriptors. Now the value counts as on its way first. OneDialTest.soItDoes... has each write tell of room; without the change it failed (a read's line where the value belongs).

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -103,9 +103,11 @@
     private void write(Attempt a) {
         long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
         Command c = a.exchange.command;
+        if (c.large()) {
+            sending.add(a); // before its line, whose write may make room and come back here
+        }
         ChannelFuture written = channel.writeAndFlush(c.encode(channel.alloc(), waitUs));
         if (c.large()) {
-            sending.add(a);
             send();
         } else {
             written.addListener(f -> written(a, f.isSuccess()));
--- a/src/test/java/holdproxy/net/LargeWriteTest.java
+++ b/src/test/java/holdproxy/net/LargeWriteTest.java
@@ -44,7 +44,7 @@
     }
 
     /** Room in the socket that a flush makes is told of within that flush. */
-    private static final class RoomAtOnce extends ChannelOutboundHandlerAdapter {
+    static final class RoomAtOnce extends ChannelOutboundHandlerAdapter {
         @Override
         public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
             ctx.write(message, promise);
--- a/src/test/java/holdproxy/net/OneDialTest.java
+++ b/src/test/java/holdproxy/net/OneDialTest.java
@@ -28,12 +28,14 @@
     @TempDir
     Path folder;
     private final List<EmbeddedChannel> channels = new ArrayList<>();
+    /** Next to the wire of the first one. */
+    private ChannelHandler wire = new TakingTheHeadAlone();
 
     /** The first is not up yet, all others are. */
     @Override
     public ChannelFuture connect(InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
         boolean first = channels.isEmpty();
-        EmbeddedChannel channel = first ? new EmbeddedChannel(false, false, behind(new TakingTheHeadAlone(), handlers))
+        EmbeddedChannel channel = first ? new EmbeddedChannel(false, false, behind(wire, handlers))
             : new EmbeddedChannel(handlers);
         channels.add(channel);
         return first ? channel.newPromise() : channel.newSucceededFuture();
@@ -62,8 +64,8 @@
         channel.close();
     }
 
-    @Test
-    void theNextCommandComesBehindTheWholeOfALargeValue() throws Exception {
+    /** Returns the first connection, on which a large value waits, and a read behind it. */
+    private EmbeddedChannel waiting() throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS.replace("\"multiplex\":1",
             "\"multiplex\":4").replace("\"secondCopies\":false", "\"secondCopies\":true"), 128));
@@ -80,7 +82,12 @@
         assertEquals(NODES, channels.size());
         client.writeInbound(Rehearsal.bytes(Fixture.read("last", 4000)));
         assertEquals(NODES, channels.size());
-        EmbeddedChannel dialed = channels.get(0);
+        return channels.get(0);
+    }
+
+    @Test
+    void theNextCommandComesBehindTheWholeOfALargeValue() throws Exception {
+        EmbeddedChannel dialed = waiting();
         dialed.register();
         String head = Rehearsal.text(dialed);
         assertTrue(head.startsWith("ms 7f ") && !head.contains("Olast"), head);
@@ -90,4 +97,15 @@
         assertEquals("x".repeat(MIB) + "\r\n", rest.substring(0, MIB + 2));
         assertTrue(rest.substring(MIB + 2).contains("Olast"), rest.substring(MIB + 2));
     }
+
+    @Test
+    void soItDoesWhereTheWriteOfItsLineMakesRoom() throws Exception {
+        wire = new LargeWriteTest.RoomAtOnce();
+        EmbeddedChannel dialed = waiting();
+        dialed.register();
+        String all = Rehearsal.text(dialed);
+        int value = all.indexOf("\r\n") + 2;
+        assertEquals("x".repeat(MIB) + "\r\n", all.substring(value, Math.min(all.length(), value + MIB + 2)));
+        assertTrue(all.substring(value + MIB + 2).contains("Olast"));
+    }
 }
