--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -68,7 +68,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         unheard = ctx.executor().schedule(() -> unheard(ctx, UNHEARD_MS), UNHEARD_MS, TimeUnit.MILLISECONDS);
-        proxy.opened(this);
+        proxy.reception.opened(this);
     }
 
     /** A client that is at work on a large value has longer. */
@@ -108,7 +108,7 @@
         }
         Slot slot = new Slot();
         slots.add(slot);
-        proxy.busy(this);
+        proxy.reception.busy(this);
         if (message instanceof Command.TooMuch t) {
             answer(slot, proxy.shed(t.command()));
         } else if (refusing && message instanceof Command c) {
@@ -229,7 +229,7 @@
         } else if (closing) {
             end();
         } else {
-            proxy.idle(this);
+            proxy.reception.idle(this);
         }
     }
 
@@ -307,7 +307,7 @@
         unread = true;
         // a slow client still takes what was written before
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
-            proxy.endSending(channel);
+            proxy.reception.endSending(channel);
             channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         });
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MOST_MS, TimeUnit.MILLISECONDS);
@@ -319,7 +319,7 @@
         if (stuck != null) {
             stuck.cancel(false);
         }
-        proxy.closed(this);
+        proxy.reception.closed(this);
         for (Slot s : slots) {
             if (s.answer != null) {
                 untaken(-s.answer.readableBytes());
--- a/src/main/java/holdproxy/net/Members.java
+++ b/src/main/java/holdproxy/net/Members.java
@@ -43,7 +43,7 @@
                 listed.add(e.node().id);
             }
         }
-        proxy.list(() -> proxy.router.onNodes(proxy.now(), kind, nodes, nodes.length, proxy));
+        proxy.events.list(() -> proxy.router.onNodes(proxy.now(), kind, nodes, nodes.length, proxy));
         for (Router.Node n : nodes) {
             if (n.state != Router.NodeState.READY) {
                 left(n.id, n.state == Router.NodeState.GONE);
@@ -86,7 +86,7 @@
         }
         int id = discovery.number(node);
         log.line("node " + node + (out ? " is left out by operators" : " is used again"));
-        proxy.event(() -> proxy.router.onLeftOut(proxy.now(), id, out, atUs));
+        proxy.events.add(() -> proxy.router.onLeftOut(proxy.now(), id, out, atUs));
         pools.leaveOut(id, out);
         if (!out && !listed.contains(id)) {
             discovery.forget(id, leftOut);
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -4,19 +4,14 @@
 import holdproxy.policy.Choice;
 import holdproxy.policy.Router;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -34,10 +29,6 @@
     private static final long TRANSIT_US = 5_000;
     /** A request that the module has left unanswered for so long after it was due is failed here. */
     private static final long OVERDUE_US = 15_000;
-    /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
-    private static final long DRAIN_OPEN_MS = 500;
-    /** So often it is looked, a millisecond apart, whether the kernel has more connections for us. */
-    private static final int LAST_LOOKS = 100;
     /**
      * SIGKILL comes no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s after
      * SIGTERM: what is open so much before is failed, as a request without an answer would be lost.
@@ -52,12 +43,10 @@
     /** For so long a class that new settings have dropped is still served: its requests were under way. */
     private static final int DROPPED_MS = 5_000;
 
-    private final Config config;
     private Router.Settings settings;
     /** The classes of the latest settings, without those that they dropped. */
     private Router.RequestClass[] kept;
     private final Time time;
-    private final Transport transport;
     private final Log log;
     private final EventLoop loop;
     private final Command.Names names = new Command.Names();
@@ -66,41 +55,26 @@
     final Choice router;
     private final Figures figures = new Figures();
     private final Map<Long, Exchange> table = new HashMap<>();
-    /** In the order of their coming, so that a run in virtual time can be played again. */
-    private final Set<ClientSession> sessions = new LinkedHashSet<>();
-    /** Idle connections, longest first. */
-    private final Set<ClientSession> idle = new LinkedHashSet<>();
-    private final int mostSessions;
-    /** Client connections that ever came. */
-    private long opened;
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final Members members;
-    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-    private final Promise<Void> drained;
+    final Events events;
+    final Reception reception;
     private final Lateness lateness;
     final Counting counting;
-    private boolean inEvent;
-    private boolean delivering;
     private long nextId = 1;
     private final Room values = new Room(MOST_HELD_BYTES);
     private long untakenBytes;
     final Relays relays = new Relays(this);
-    private Channel listener;
-    private boolean handingOver;
-    private volatile boolean listening;
-    private volatile boolean draining;
 
     Proxy(Config config, EventLoop loop, Time time, Transport transport, Log log) {
-        this.config = config;
         this.loop = loop;
         this.time = time;
-        this.transport = transport;
         this.log = log;
         lateness = new Lateness(now());
-        drained = loop.newPromise();
         Descriptors bound = Descriptors.of(config.sockets, transport != null && transport.shared());
-        mostSessions = bound.clients();
+        events = new Events(transport, log, () -> justStoodStillUs(now()) > LONG_STILL_US);
+        reception = new Reception(this, config.listen, loop, transport, log, bound.clients());
         settings = config.settings;
         kept = settings.classes;
         names.set(settings);
@@ -162,7 +136,7 @@
             figures.of(c.name);
         }
         pools.retune(next);
-        event(() -> router.onSettings(now(), next));
+        events.add(() -> router.onSettings(now(), next));
     }
 
     /** SIGHUP with a bad file, which changes nothing. */
@@ -180,29 +154,35 @@
         }
     }
 
-    /** On the loop: no client is accepted before it is known where. Null: it was told to end. */
     ChannelFuture listen() {
-        if (draining) {
-            return null;
-        }
-        ChannelFuture bound = transport.listen(config.listen, this::handlers);
-        listener = bound.channel();
-        bound.addListener(f -> listening = f.isSuccess());
-        return bound;
-    }
-
-    /** What a client's connection needs. */
-    ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new Command.Decoder(names, values), new ClientSession(this)};
+        return reception.listen();
     }
 
-    /** Whether it still takes connections, also while it ends. */
     boolean listens() {
-        return listener != null;
+        return reception.listens();
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return reception.address();
+    }
+
+    /** Whether clients are taken: from when it listens until it is told to end. On any thread. */
+    boolean takesClients() {
+        return reception.takesClients();
+    }
+
+    /** As at SIGTERM; done once every connection has ended. */
+    public Future<Void> end() {
+        return reception.end();
+    }
+
+    Future<Void> end(long openMs) {
+        return reception.end(openMs);
+    }
+
+    /** What a client's connection needs. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new Command.Decoder(names, values), new ClientSession(this)};
     }
 
     private void tickLater() {
@@ -230,94 +210,6 @@
         return loop.scheduleAtFixedRate(task, ms, ms, TimeUnit.MILLISECONDS);
     }
 
-    /**
-     * The module decides at the end of a turn, by all that had come until then: what is read first may have
-     * come last, or be the older by as long as the loop stood still. So nothing is sent to a node whose drain
-     * or end lies behind the request in that turn, nor for a client that has left in it. Its calls do not
-     * nest either.
-     */
-    void event(Runnable call) {
-        events.add(call);
-        if (!delivering) {
-            delivering = true;
-            transport.whenRead(this::deliver, justStoodStillUs(now()) > LONG_STILL_US);
-        }
-    }
-
-    private void deliver() {
-        try {
-            for (Runnable next = events.poll(); next != null; next = events.poll()) {
-                tell(next);
-            }
-        } finally {
-            delivering = false;
-        }
-    }
-
-    /** A list goes before what waits: nothing is decided by an older one than has come. */
-    void list(Runnable call) {
-        if (inEvent) {
-            event(call);
-        } else {
-            tell(call);
-        }
-    }
-
-    private void tell(Runnable call) {
-        inEvent = true;
-        try {
-            call.run();
-        } catch (RuntimeException e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            log.line("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
-        } finally {
-            inEvent = false;
-        }
-    }
-
-    // ---- client connections ----
-
-    void opened(ClientSession s) {
-        opened++;
-        sessions.add(s);
-        if (sessions.size() > mostSessions) {
-            // between requests a connection may be closed: the one that has been idle longest makes room
-            if (!idle.isEmpty()) {
-                ClientSession oldest = idle.iterator().next();
-                idle.remove(oldest);
-                oldest.close();
-            } else {
-                s.refuse();
-            }
-            if (sessions.size() > mostSessions + Descriptors.REFUSING) {
-                s.abort(); // descriptors: past the bound nothing could be opened, not even to a node
-            }
-        }
-        idle.add(s);
-    }
-
-    void busy(ClientSession s) {
-        idle.remove(s);
-    }
-
-    void idle(ClientSession s) {
-        idle.add(s);
-        if (draining && (listener == null || handingOver)) {
-            idle.remove(s);
-            s.close();
-        }
-    }
-
-    void endSending(Channel channel) {
-        transport.endSending(channel);
-    }
-
-    void closed(ClientSession s) {
-        sessions.remove(s);
-        idle.remove(s);
-        finishDrain();
-    }
-
     // ---- requests ----
 
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
@@ -342,7 +234,7 @@
         figures.active.add(1);
         x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
             TimeUnit.MICROSECONDS);
-        event(() -> {
+        events.add(() -> {
             if (x.answered) {
                 return; // its client has left in this very turn
             }
@@ -363,14 +255,14 @@
         if (!x.answered) {
             log.line(why);
             answerFailed(x);
-            event(() -> router.onAborted(now(), x.id, this));
+            events.add(() -> router.onAborted(now(), x.id, this));
         }
     }
 
     void clientGone(Exchange x) {
         if (!x.answered) {
             concluded(x);
-            event(() -> router.onAborted(now(), x.id, this));
+            events.add(() -> router.onAborted(now(), x.id, this));
         }
     }
 
@@ -433,7 +325,7 @@
         }
         settle(x);
         long latencyUs = a.firstBytesUs >= 0 ? a.firstBytesUs : latencyUs(a, now());
-        event(() -> {
+        events.add(() -> {
             if (answer != null) {
                 answer.report(report);
             } else {
@@ -473,6 +365,22 @@
         }
     }
 
+    /** By the classes of the latest file: whoever sends SIGKILL goes by them. One may state no deadline. */
+    long lastWordMs() {
+        long longest = 0;
+        for (Router.RequestClass c : kept) {
+            long ms = c.deadlineUs > 0 ? c.deadlineUs / 1000 : KILL_DEADLINE_MOST_MS;
+            longest = Math.max(longest, Math.min(ms, KILL_DEADLINE_MOST_MS));
+        }
+        return longest + KILL_AFTER_MS - LAST_WORD_BEFORE_MS;
+    }
+
+    void lastWord() {
+        for (Exchange x : List.copyOf(table.values())) {
+            failOverdue(x, "a request is open at the end: failed");
+        }
+    }
+
     // ---- the node list ----
 
     void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
@@ -544,14 +452,14 @@
 
     @Override
     public void timer(long delayUs, long label) {
-        loop.schedule(() -> event(() -> router.onTimer(now(), label, this)), Math.max(0, delayUs),
+        loop.schedule(() -> events.add(() -> router.onTimer(now(), label, this)), Math.max(0, delayUs),
             TimeUnit.MICROSECONDS);
     }
 
     @Override
     public void probe(int node) {
         // the module asks for none; one that does is told that none was sent
-        event(() -> {
+        events.add(() -> {
             report.clear();
             router.onProbe(now(), node, Router.Outcome.NOT_SENT, 0, report, this);
         });
@@ -585,90 +493,9 @@
         log.line(line);
     }
 
-    // ---- the end ----
-
-    /** As at SIGTERM; done once every connection has ended. */
-    public Future<Void> end() {
-        return end(DRAIN_OPEN_MS);
-    }
-
-    /**
-     * Serves on while new connections still come, then ends each connection after its answers. Where another
-     * process takes what comes, nothing more is accepted, and a connection ends right behind an answer: its
-     * client is then least likely to be sending. What idles until the time is over ends then.
-     */
-    Future<Void> end(long openMs) {
-        loop.execute(() -> {
-            if (draining) {
-                return;
-            }
-            draining = true;
-            log.line("ending: " + table.size() + " requests open, " + sessions.size() + " connections");
-            if (listener == null) {
-                finishDrain(); // it has not listened yet: nobody was taken
-                return;
-            }
-            handingOver = transport.shared();
-            if (handingOver) {
-                listener.config().setAutoRead(false);
-            }
-            loop.schedule(() -> stopListening(-1, LAST_LOOKS), openMs, TimeUnit.MILLISECONDS);
-            loop.schedule(this::lastWord, lastWordMs(), TimeUnit.MILLISECONDS);
-        });
-        return drained;
-    }
-
-    /** By the classes of the latest file: whoever sends SIGKILL goes by them. One may state no deadline. */
-    private long lastWordMs() {
-        long longest = 0;
-        for (Router.RequestClass c : kept) {
-            long ms = c.deadlineUs > 0 ? c.deadlineUs / 1000 : KILL_DEADLINE_MOST_MS;
-            longest = Math.max(longest, Math.min(ms, KILL_DEADLINE_MOST_MS));
-        }
-        return longest + KILL_AFTER_MS - LAST_WORD_BEFORE_MS;
-    }
-
-    private void lastWord() {
-        for (Exchange x : List.copyOf(table.values())) {
-            failOverdue(x, "a request is open at the end: failed");
-        }
-    }
-
-    /**
-     * Not before a turn that brought no connection: after a standstill of the loop many may lie in the
-     * kernel, and closed with the listener, or accepted and not read yet, they would have no answer.
-     */
-    private void stopListening(long openedBefore, int looks) {
-        if (looks > 0 && opened != openedBefore) {
-            long now = opened;
-            loop.schedule(() -> stopListening(now, looks - 1), 1, TimeUnit.MILLISECONDS);
-            return;
-        }
-        if (!handingOver) {
-            listener.close();
-        }
-        listener = null;
-        log.line("ending: " + idle.size() + " idle connections of " + sessions.size());
-        for (ClientSession s : List.copyOf(sessions)) {
-            s.close();
-        }
-        finishDrain();
-    }
-
-    private void finishDrain() {
-        if (draining && listener == null && sessions.isEmpty()) {
-            drained.trySuccess(null);
-        }
-    }
-
     // ---- what operators read ----
 
     public Figures figures() {
         return figures;
     }
-
-    /** Whether clients are taken: from when it listens until it is told to end. On any thread. */
-    boolean takesClients() {
-        return listening && !draining;
-    }
 }
--- a/src/main/java/holdproxy/net/Relays.java
+++ b/src/main/java/holdproxy/net/Relays.java
@@ -25,7 +25,7 @@
         x.overdue.cancel(false);
         a.timer.cancel(false);
         a.firstBytesUs = proxy.latencyUs(a, proxy.now());
-        proxy.event(() -> proxy.router.onStreaming(proxy.now(), x.id, a.number, proxy));
+        proxy.events.add(() -> proxy.router.onStreaming(proxy.now(), x.id, a.number, proxy));
         return new Relay(proxy, this, a, node, answer.encode(ByteBufAllocator.DEFAULT));
     }
 
