--- a/review/standin/HalfSentWrites.java
+++ b/review/standin/HalfSentWrites.java
@@ -32,9 +32,7 @@
                 };
         List<Stand.Node> nodes = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            Stand.Node n = stand.new Node("s-" + i, i % 2 == 0 ? "room-north" : "room-south", serve);
-            n.quiet = true;
-            nodes.add(n);
+            nodes.add(stand.new Node("s-" + i, i % 2 == 0 ? "room-north" : "room-south", serve));
         }
         Stand.Discovery discovery = stand.new Discovery(nodes);
         Stand.Proxy proxy = stand.new Proxy(discovery, 1024, Stand.SETTINGS);
@@ -52,7 +50,7 @@
                 String line = "ms " + String.format("%x", 0xd000 + i) + " " + VALUE
                         + String.format(" O%016x", 0x2000000L + i)
                         + " Pc=renewal,t=golfklubbur,d=2400,k=" + String.format("%016x", 0x3000000L + i);
-                Stand.thread("peer", () -> send(s, line));
+                Stand.thread("peer", () -> send(stand, s, line));
             }
             Stand.sleep(200);
             stand.record("each peer has sent its line and " + SENT + " of " + VALUE + " bytes, and stays");
@@ -70,7 +68,8 @@
         return stand.result(clients.lost);
     }
 
-    private static void send(Socket s, String line) throws IOException {
+    private static void send(Stand stand, Socket s, String line) throws IOException {
+        stand.record("a peer begins to send " + line);
         OutputStream out = s.getOutputStream();
         out.write(Stand.bytes(line + "\r\n"));
         byte[] value = Stand.value(SENT, 'w');
--- a/review/standin/OneFloodingPeer.java
+++ b/review/standin/OneFloodingPeer.java
@@ -27,9 +27,7 @@
                 };
         List<Stand.Node> nodes = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            Stand.Node n = stand.new Node("s-" + i, i % 2 == 0 ? "room-north" : "room-south", serve);
-            n.quiet = true;
-            nodes.add(n);
+            nodes.add(stand.new Node("s-" + i, i % 2 == 0 ? "room-north" : "room-south", serve));
         }
         Stand.Discovery discovery = stand.new Discovery(nodes);
         Stand.Proxy proxy = stand.new Proxy(discovery, 1024, Stand.SETTINGS);
--- a/review/standin/Stand.java
+++ b/review/standin/Stand.java
@@ -177,7 +177,6 @@
         volatile Behaviour behaviour;
         volatile String state = "SERVING";
         final List<Socket> sockets = new CopyOnWriteArrayList<>();
-        volatile boolean quiet;
 
         Node(String id, String zone, Behaviour behaviour) throws IOException {
             this.id = id;
@@ -223,9 +222,7 @@
                         in.readNBytes(c.valueBytes + 2);
                     }
                     runs.incrementAndGet();
-                    if (!quiet) {
-                        record(id + " runs " + line);
-                    }
+                    record(id + " runs " + line);
                     behaviour.run(c);
                 }
             } finally {
