Review case 2: a client that leaves takes another client's large value with it

Cause: NodeConnection.stopRelaying drops whatever value the connection to the cache node is passing on, also when that is no longer the value of the client that left; that other client's value stops in the middle and its connection is never ended.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../run-case" "review/2" HalfSentWrites
+exec "$(dirname "$0")/../run-case" "review/2" LeavingReader
