A peer that sends without end no longer holds up other clients: input in turns

Cause: nothing bounded the work for one connection in one iteration of the event loop. MetaDecoder decoded all that was read, up to 1 MiB in a pass, and ClientSession.writeReady flushed each answer by itself, 15 us each.

Change: a connection decodes 128 lines in an iteration and then waits in InputScheduler, unread, for its next turn; answers of a read or a turn are flushed together; four reads a pass for clients as for nodes; 16 unknown commands in a row end a connection; what a closed node's connection or a served console caller still sends is discarded undecoded. While input waits over 60 ms nothing new is sent for that client, as its end is read last. This works because an iteration now handles at most 128 lines of each newly read connection and four turns of 128 of those that wait.

--- a/src/main/java/holdproxy/console/Console.java
+++ b/src/main/java/holdproxy/console/Console.java
@@ -116,7 +116,9 @@
                     ctx.close(); // every other caller is being answered
                     return;
                 }
-                waiting.iterator().next().close();
+                Channel oldest = waiting.iterator().next();
+                waiting.remove(oldest);
+                oldest.close();
             }
             waiting.add(ctx.channel());
             ctx.executor()
@@ -183,9 +185,13 @@
             }
         }
 
+        /** From here on, what the caller sends is discarded without being split into lines. */
         private void markReceived(ChannelHandlerContext ctx) {
             commandReceived = true;
             waiting.remove(ctx.channel());
+            if (ctx.pipeline().get(LineBasedFrameDecoder.class) != null) {
+                ctx.pipeline().remove(LineBasedFrameDecoder.class);
+            }
         }
 
         /**
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -39,6 +39,9 @@
 
     private static final int MAX_PART_GAP_MS = 400;
 
+    /** After so many lines in a row that are no command, the connection is closed. */
+    private static final int MAX_UNKNOWN_COMMANDS = 16;
+
     /** A request's position in the response order. */
     static final class Slot {
         private ByteBuf answer;
@@ -56,6 +59,7 @@
     }
 
     private final Proxy proxy;
+    private final Command.Decoder decoder;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
     private Future<?> firstCommandTimer;
@@ -67,14 +71,19 @@
     /** Bytes of complete responses that have not been written to the client's socket. */
     private int unwrittenBytes;
 
+    /** Lines in a row, up to the last one read, that were no command. */
+    private int unknownCommands;
+
     private boolean ignoringInput;
     private boolean closing;
     private boolean refusing;
     private boolean outputClosing;
     private boolean writing;
 
-    ClientSession(Proxy proxy) {
+    /** {@code decoder}: the handler before this one, which decodes what the client sends. */
+    ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
+        this.decoder = decoder;
     }
 
     @Override
@@ -130,6 +139,7 @@
             // framing is lost or output is shut down: the client has to retry elsewhere
             return;
         }
+        unknownCommands = message == Command.UNKNOWN_COMMAND ? unknownCommands + 1 : 0;
         if (closing || slots.size() >= MAX_WAITING) {
             refuseExcess(message);
             return;
@@ -147,21 +157,42 @@
         } else if (message instanceof Command.Greeting) {
             answer(slot, "MN");
         } else if (message instanceof Command.Fault f) {
-            ignoringInput |= f.close();
-            closing |= f.close();
+            if (endsInput(f)) {
+                endInput();
+            }
             answer(slot, f.line());
         }
     }
 
+    /** Whether nothing after this line can be decoded, or the peer is no client. */
+    private boolean endsInput(Command.Fault fault) {
+        return fault.close() || unknownCommands >= MAX_UNKNOWN_COMMANDS;
+    }
+
+    /** Takes no more requests; closes the connection once those that were taken are answered. */
+    private void endInput() {
+        closing = true;
+        ignoreInput();
+    }
+
+    private void ignoreInput() {
+        ignoringInput = true;
+        decoder.discardInput();
+    }
+
+    /** How long the client may have left without that having been noticed, in microseconds. */
+    long inputDelayUs(long now) {
+        return decoder.inputDelayUs(now);
+    }
+
     /**
      * Refuses a request because too many are waiting or the connection is closing. Reading goes on even then:
      * otherwise the client's disconnect would go unnoticed and its waiting requests would still be sent to
      * nodes. Refused requests are only counted, which bounds memory, and are answered in order.
      */
     private void refuseExcess(Object message) {
-        if (message instanceof Command.Fault f && f.close()) {
-            ignoringInput = true;
-            closing = true;
+        if (message instanceof Command.Fault f && endsInput(f)) {
+            endInput();
         } else if (message instanceof Command c) {
             proxy.shedAnswer(c);
         } else if (message instanceof Command.ValueDropped t) {
@@ -340,7 +371,7 @@
             return;
         }
         outputClosing = true;
-        ignoringInput = true;
+        ignoreInput();
         // completes after all earlier writes, so that a slow client still gets them
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
                 .addListener(
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /** An {@code mg} or {@code ms} command of a client: its attributes for the router, its bytes for a node. */
 final class Command {
@@ -204,9 +205,24 @@
     /**
      * Decodes commands from a client connection: each becomes a Command, a {@link ValueDropped}, a
      * {@link Greeting} or a {@link Fault}. {@link #VALUE_PART} is emitted as parts of a large value arrive.
+     * The decoder handles a bounded number of lines in one iteration of the event loop. A connection with
+     * more input than that is not read until its next turn.
      */
-    static final class Decoder extends MetaDecoder {
+    static final class Decoder extends MetaDecoder implements InputScheduler.Connection {
+        /** As many as may wait for their responses on one connection. */
+        static final int LINES_PER_TURN = 128;
+
         private final Names names;
+        private final InputScheduler scheduler;
+        private final LongSupplier clock;
+        private ChannelHandlerContext context;
+        private int linesLeft = LINES_PER_TURN;
+        private boolean queued;
+        private boolean waitingForTurn;
+
+        /** When this connection began to wait for turns; meaningless unless {@link #waitingForTurn}. */
+        private long waitingSinceUs;
+
         private Command pending;
         private String pendingFault;
         private final ByteBudget budget;
@@ -215,21 +231,83 @@
         private int length;
         private boolean discarding;
 
-        /** The last parameter is the memory budget for values that are still arriving. */
-        Decoder(Names names, ByteBudget budget) {
+        /**
+         * {@code budget}: the memory for values that are still arriving; {@code clock}: in microseconds.
+         */
+        Decoder(Names names, ByteBudget budget, InputScheduler scheduler, LongSupplier clock) {
             this.names = names;
             this.budget = budget;
+            this.scheduler = scheduler;
+            this.clock = clock;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            context = ctx;
+        }
+
+        @Override
+        boolean admitsLine() {
+            if (linesLeft == 0) {
+                context.channel().config().setAutoRead(false);
+            }
+            return linesLeft > 0;
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            super.channelReadComplete(ctx);
+            if (linesLeft == 0 && hasUndecodedInput()) {
+                awaitTurn();
+            } else {
+                endTurns();
+            }
+        }
+
+        private void awaitTurn() {
+            if (!waitingForTurn) {
+                waitingForTurn = true;
+                waitingSinceUs = clock.getAsLong();
+            }
+            if (!queued) {
+                queued = true;
+                scheduler.add(this);
+            }
+        }
+
+        private void endTurns() {
+            waitingForTurn = false;
+            linesLeft = LINES_PER_TURN;
+            context.channel().config().setAutoRead(true);
+        }
+
+        /** Decodes as if more input had been read, so that all handlers see a read and its end. */
+        @Override
+        public void resume() {
+            queued = false;
+            linesLeft = LINES_PER_TURN;
+            context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            context.pipeline().fireChannelReadComplete();
+        }
+
+        /**
+         * How long the connection has had input that was not decoded, in microseconds. The client may have
+         * left as long ago, since the end of a connection is read after all that was sent on it.
+         */
+        long inputDelayUs(long now) {
+            return waitingForTurn ? now - waitingSinceUs : 0;
         }
 
         @Override
         int onLine(String line, List<Object> out) {
+            linesLeft--;
             String[] tokens = line.split(" ");
             String verb = tokens.length == 0 ? "" : tokens[0];
             boolean write = verb.equals("ms");
             if (line.equals("mn")) {
                 out.add(new Greeting());
             } else if (!write && !verb.equals("mg")) {
-                out.add(new Fault("ERROR", false));
+                out.add(UNKNOWN_COMMAND);
             } else if (tokens.length < (write ? 3 : 2)) {
                 out.add(new Fault("CLIENT_ERROR bad command line format", write));
             } else {
@@ -288,6 +366,12 @@
             out.add(VALUE_PART);
         }
 
+        @Override
+        void discardInput() {
+            super.discardInput();
+            releaseBuffer();
+        }
+
         private void releaseBuffer() {
             budget.release(received);
             received = 0;
@@ -310,6 +394,7 @@
         @Override
         protected void handlerRemoved0(ChannelHandlerContext ctx) {
             releaseBuffer();
+            scheduler.remove(this);
         }
 
         @Override
@@ -331,4 +416,7 @@
 
     /** Error line for a protocol violation by a client; {@code close}: nothing after it can be decoded. */
     record Fault(String line, boolean close) {}
+
+    /** A line that is no command. */
+    static final Fault UNKNOWN_COMMAND = new Fault("ERROR", false);
 }
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -43,11 +43,26 @@
             in.skipBytes(in.readableBytes());
         } else if (blockLength != NO_BLOCK) {
             decodeBlock(in, out);
-        } else {
+        } else if (admitsLine()) {
             decodeLine(in, out);
         }
     }
 
+    /** Whether the next line may be decoded now; if not, it stays in the buffer. */
+    boolean admitsLine() {
+        return true;
+    }
+
+    /** Whether the buffer holds bytes that are not decoded yet. */
+    final boolean hasUndecodedInput() {
+        return actualReadableBytes() > 0;
+    }
+
+    /** Discards what is buffered and all further input, without decoding it. */
+    void discardInput() {
+        framingLost = true;
+    }
+
     private void decodeBlock(ByteBuf in, List<Object> out) {
         if (blockLength > MAX_BUFFERED_VALUE_BYTES) {
             decodeBlockParts(in, out);
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -22,6 +22,8 @@
     /** How long an attempt may wait for the connection to be established. */
     private final long dialTimeoutUs;
 
+    private final NodeResponse.Decoder decoder;
+
     /** The attempts whose commands have been started, in the order of their answers. */
     private final ArrayDeque<Attempt> awaitingAnswer = new ArrayDeque<>();
 
@@ -58,10 +60,16 @@
 
     private boolean anyAnswer;
 
-    NodeConnection(NodePool pool, InetSocketAddress address, long dialTimeoutUs) {
+    /** {@code decoder}: the handler before this one, which decodes what the node sends. */
+    NodeConnection(
+            NodePool pool,
+            InetSocketAddress address,
+            long dialTimeoutUs,
+            NodeResponse.Decoder decoder) {
         this.pool = pool;
         this.address = address;
         this.dialTimeoutUs = dialTimeoutUs;
+        this.decoder = decoder;
     }
 
     @Override
@@ -385,6 +393,7 @@
             return;
         }
         closed = true;
+        decoder.discardInput();
         pool.onClosed(this);
         if (relay != null) {
             ValueStream r = relay;
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -105,14 +105,11 @@
         }
         openConnections++;
         dials++;
-        NodeConnection c = new NodeConnection(pool, pool.address, dialTimeoutUs);
+        NodeResponse.Decoder decoder = new NodeResponse.Decoder();
+        NodeConnection c = new NodeConnection(pool, pool.address, dialTimeoutUs, decoder);
         pool.onOpened(c);
         transport
-                .connect(
-                        pool.address,
-                        (int) Math.max(1, dialTimeoutUs / 1000),
-                        new NodeResponse.Decoder(),
-                        c)
+                .connect(pool.address, (int) Math.max(1, dialTimeoutUs / 1000), decoder, c)
                 .addListener((ChannelFutureListener) c::onConnectDone);
         return c;
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -84,6 +85,7 @@
     private long nextId = 1;
     private final ByteBudget valueBytes = new ByteBudget(MAX_VALUE_BYTES);
     private long unreadBytes;
+    private final InputScheduler inputScheduler;
     final ValueStreams relays = new ValueStreams(this);
 
     Proxy(Config config, EventLoop loop, Clock time, Transport transport, Log log) {
@@ -94,6 +96,7 @@
         ConnectionLimits bound =
                 ConnectionLimits.of(
                         config.sockets, transport != null && transport.sharesListener());
+        inputScheduler = new InputScheduler(transport);
         events = new EventQueue(transport, log, this::now, lateness);
         reception = new ClientListener(this, config.listen, loop, transport, log, bound.clients());
         settings = config.settings;
@@ -212,8 +215,9 @@
 
     /** The channel handlers of a client connection. */
     ChannelHandler[] handlers() {
+        Command.Decoder decoder = new Command.Decoder(names, valueBytes, inputScheduler, this::now);
         return new ChannelHandler[] {
-            new Command.Decoder(names, valueBytes), new ClientSession(this)
+            new FlushConsolidationHandler(), decoder, new ClientSession(this, decoder)
         };
     }
 
@@ -253,12 +257,13 @@
             session.answer(slot, "CLIENT_ERROR c is not known here any longer");
             return null;
         }
+        long now = now();
         if (exchanges.size() >= Math.min(MAX_OPEN, settings.maxOpen)
+                || mayHaveLeft(session, now)
                 || !valueBytes.reserve(c.valueBytes())) {
             session.answer(slot, shedAnswer(c));
             return null;
         }
-        long now = now();
         long classUs = settings.classes[type].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         // a client's stated wait cannot exceed the deadline of the class
@@ -294,6 +299,11 @@
         return x;
     }
 
+    /** Whether the client may have left longer ago than attempts for it may still begin. */
+    private static boolean mayHaveLeft(ClientSession session, long now) {
+        return session.inputDelayUs(now) > EventQueue.MAX_INPUT_AGE_US;
+    }
+
     private void overdue(Exchange x) {
         failOverdue(x, "the router gave no answer by the deadline of a request; failing it");
     }
@@ -507,7 +517,11 @@
         x.attempts.add(a);
         x.openAttempts++;
         a.timer = loop.schedule(() -> timedOut(a), Math.max(0, wait), TimeUnit.MICROSECONDS);
-        if (x.answered || wait <= 0 || pool == null || a.number >= x.maxAttempts) {
+        if (x.answered
+                || wait <= 0
+                || pool == null
+                || a.number >= x.maxAttempts
+                || mayHaveLeft(x.session, now)) {
             attemptEnded(a, Router.Outcome.NOT_SENT, null);
         } else {
             pool.send(a);
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -21,7 +22,7 @@
 final class Sockets implements Transport {
     private static final int BACKLOG = 512;
 
-    /** Reads of one socket, of at most 64 KiB each, before the others: a large value must not delay them. */
+    /** Reads of one socket, of at most 64 KiB each, before the others: one peer must not delay them. */
     private static final int MAX_READS_PER_PASS = 4;
 
     private final EventLoop loop;
@@ -38,10 +39,11 @@
                         // not channel(Class), whose reflection is costly during start-up
                         .channelFactory(NioSocketChannel::new)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(
-                                ChannelOption.RECVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator()
-                                        .maxMessagesPerRead(MAX_READS_PER_PASS));
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers());
+    }
+
+    private static RecvByteBufAllocator receiveBuffers() {
+        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_PASS);
     }
 
     @Override
@@ -65,6 +67,7 @@
                 new ServerBootstrap()
                         .group(loop, loop)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
--- a/src/test/java/holdproxy/console/ConsoleTest.java
+++ b/src/test/java/holdproxy/console/ConsoleTest.java
@@ -182,4 +182,16 @@
         assertFalse(silent.get(0).isActive());
         assertEquals("OK\r\n", call("check\r\n"));
     }
+
+    /** Guards against a caller that keeps the console's loop busy with lines after its command. */
+    @Test
+    void whatFollowsACommandIsNotSplitIntoLines() {
+        EmbeddedChannel caller = caller();
+        send(caller, "set-down s-1\r\n" + "x\r\n".repeat(10_000));
+        assertNull(caller.pipeline().get(LineBasedFrameDecoder.class));
+        assertEquals(List.of("s-1 true"), commands);
+        answers.get(0).accept(null);
+        caller.runPendingTasks();
+        assertEquals("OK\r\n", readAnswer(caller));
+    }
 }
--- a/src/test/java/holdproxy/net/EmbeddedTransport.java
+++ b/src/test/java/holdproxy/net/EmbeddedTransport.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
@@ -17,6 +18,11 @@
     /** The connections to cache nodes, in the order in which they were opened. */
     final List<EmbeddedChannel> nodeConnections = new ArrayList<>();
 
+    /** Tasks for the next iteration of the loop are kept in {@link #nextIteration} instead of run at once. */
+    boolean keepsNextIteration;
+
+    final ArrayDeque<Runnable> nextIteration = new ArrayDeque<>();
+
     EmbeddedChannel latestNodeConnection() {
         return nodeConnections.get(nodeConnections.size() - 1);
     }
@@ -36,6 +42,22 @@
         throw new UnsupportedOperationException("tests connect clients themselves");
     }
 
+    @Override
+    public void afterReads(Runnable task, boolean stalled) {
+        if (stalled && keepsNextIteration) {
+            nextIteration.add(task);
+        } else {
+            task.run();
+        }
+    }
+
+    /** Runs the tasks that were kept for the next iteration of the loop; those that they add are kept again. */
+    void runNextIteration() {
+        for (int tasks = nextIteration.size(); tasks > 0; tasks--) {
+            nextIteration.poll().run();
+        }
+    }
+
     @Override
     public void shutdownOutput(Channel channel) {
         channel.close();
--- /dev/null
+++ b/src/test/java/holdproxy/net/FloodingClientTest.java
@@ -0,0 +1,190 @@
+package holdproxy.net;
+
+import static holdproxy.net.WarmUp.bytes;
+import static holdproxy.net.WarmUp.text;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.policy.Router;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards against a client that holds up all others: lines without end were handled in one iteration of the
+ * event loop, with a system call for each answer.
+ */
+class FloodingClientTest {
+    private static final int MANY = 20_000;
+
+    private final MockTicker ticker = Ticker.newMockTicker();
+    private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
+    private final EmbeddedTransport transport = new EmbeddedTransport();
+    private Proxy proxy;
+
+    @BeforeEach
+    void start(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+        Clock time = new Clock(ticker, () -> 0);
+        proxy = new Proxy(config, timers.eventLoop(), time, transport, new Log(time, line -> {}));
+        List<Discovery.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            Router.Node node = new Router.Node();
+            node.id = i + 1;
+            entries.add(new Discovery.Entry(node, "s-" + i, config.listen));
+        }
+        proxy.nodes(Router.ListKind.CACHED, entries);
+        transport.keepsNextIteration = true;
+    }
+
+    private EmbeddedChannel client() {
+        return new EmbeddedChannel(proxy.handlers());
+    }
+
+    private static int lines(EmbeddedChannel channel) {
+        return (int) text(channel).lines().count();
+    }
+
+    /** The number of commands that nodes have received since the last call. */
+    private int forwarded() {
+        return transport.nodeConnections.stream().mapToInt(FloodingClientTest::lines).sum();
+    }
+
+    private static String reads(int count) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            all.append(Fixture.read("f" + i, 4000));
+        }
+        return all.toString();
+    }
+
+    @Test
+    void oneIterationHandlesABoundedPartOfAClientsInput() {
+        EmbeddedChannel flood = client();
+        flood.writeInbound(bytes("mn\r\n".repeat(MANY)));
+        int answered = lines(flood);
+        assertEquals(Command.Decoder.LINES_PER_TURN, answered);
+        assertFalse(flood.config().isAutoRead(), "it is not read meanwhile");
+        client().writeInbound(bytes(Fixture.read("a1", 900)));
+        assertEquals(1, forwarded(), "another client is served meanwhile");
+        while (answered < MANY) {
+            transport.runNextIteration();
+            int more = lines(flood);
+            assertTrue(more > 0 && more <= Command.Decoder.LINES_PER_TURN, more + " lines at once");
+            answered += more;
+        }
+        assertEquals(MANY, answered);
+        assertTrue(flood.config().isAutoRead(), "it is read again");
+        flood.writeInbound(bytes("mn\r\n"));
+        assertEquals("MN\r\n", text(flood));
+    }
+
+    @Test
+    void manyFloodsTogetherAreHandledInBoundedParts() {
+        List<EmbeddedChannel> floods = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            floods.add(client());
+            floods.get(i).writeInbound(bytes("mn\r\n".repeat(300)));
+            lines(floods.get(i));
+        }
+        for (int left = 100 * (300 - Command.Decoder.LINES_PER_TURN); left > 0; ) {
+            transport.runNextIteration();
+            int more = floods.stream().mapToInt(FloodingClientTest::lines).sum();
+            assertTrue(more > 0 && more <= 4 * Command.Decoder.LINES_PER_TURN, more + " at once");
+            left -= more;
+        }
+    }
+
+    @Test
+    void theAnswersOfOneTurnAreFlushedTogether() {
+        int[] flushes = new int[1];
+        EmbeddedChannel flood =
+                new EmbeddedChannel(
+                        new ChannelOutboundHandlerAdapter() {
+                            @Override
+                            public void flush(ChannelHandlerContext ctx) {
+                                flushes[0]++;
+                                ctx.flush();
+                            }
+                        });
+        flood.pipeline().addLast(proxy.handlers());
+        flood.pipeline().fireChannelActive();
+        flood.writeInbound(bytes("mn\r\n".repeat(2 * Command.Decoder.LINES_PER_TURN)));
+        transport.runNextIteration();
+        assertEquals(2 * Command.Decoder.LINES_PER_TURN, lines(flood));
+        assertTrue(flushes[0] <= 4, flushes[0] + " flushes");
+    }
+
+    @Test
+    void aPeerThatSendsNoCommandsIsClosedAfterSomeErrors() {
+        EmbeddedChannel peer = client();
+        peer.writeInbound(bytes("x\r\n".repeat(MANY)));
+        assertEquals("ERROR\r\n".repeat(16), text(peer));
+        assertFalse(peer.isActive());
+        EmbeddedChannel client = client();
+        for (int i = 0; i < 3; i++) {
+            client.writeInbound(bytes("x\r\n".repeat(15) + "mn\r\n"));
+            assertEquals("ERROR\r\n".repeat(15) + "MN\r\n", text(client));
+        }
+        assertTrue(client.isActive());
+    }
+
+    /** The end of a connection is read after all that was sent on it, so its client may have left long ago. */
+    @Test
+    void nothingIsSentForAClientWhoseInputHasWaitedTooLong() {
+        EmbeddedChannel flood = client();
+        flood.writeInbound(bytes(reads(1_000)));
+        assertTrue(forwarded() > 0);
+        ticker.advance(EventQueue.MAX_INPUT_AGE_US + 1_000, TimeUnit.MICROSECONDS);
+        proxy.tick();
+        proxy.tick();
+        for (EmbeddedChannel node : List.copyOf(transport.nodeConnections)) {
+            node.writeInbound(bytes("SERVER_ERROR busy\r\n"));
+        }
+        for (int i = 0; i < 3; i++) {
+            transport.runNextIteration();
+        }
+        assertEquals(0, forwarded());
+        assertTrue(text(flood).contains("SERVER_ERROR busy"));
+    }
+
+    @Test
+    void aClientThatClosesBetweenTurnsIsForgotten() {
+        EmbeddedChannel flood = client();
+        flood.writeInbound(bytes(reads(1_000)));
+        forwarded();
+        flood.close();
+        flood.runPendingTasks();
+        for (int i = 0; i < 10; i++) {
+            transport.runNextIteration();
+        }
+        assertEquals(0, forwarded());
+        assertEquals(0, proxy.figures().active.get());
+        assertTrue(transport.nextIteration.isEmpty());
+    }
+
+    /** The rest of what was read is not decoded: a node may send answers without end. */
+    @Test
+    void aNodeThatAnswersNothingIsClosedAtItsFirstAnswer() {
+        client().writeInbound(bytes(Fixture.read("a1", 900)));
+        assertEquals(1, forwarded());
+        EmbeddedChannel node = transport.latestNodeConnection();
+        node.writeInbound(bytes("VA 1 Oa1\r\n1\r\n" + "HD Ob\r\n".repeat(MANY)));
+        assertFalse(node.isActive());
+        NodeResponse.Decoder decoder = node.pipeline().get(NodeResponse.Decoder.class);
+        assertTrue(decoder == null || !decoder.hasUndecodedInput());
+    }
+}
