A client that leaves no longer stops another client's value on the same node connection

Cause: a value that is received whole ends its attempt, so that the connection to the node serves the next one, while its stream lives on until the client has the rest. When that client left, NodeConnection.stopRelaying dropped whatever stream the connection had by then and resumed reading for it. ValueStream.checkStall closed the connection, whose end reaches a stream by that dropped reference alone. Evidence, a scratch copy that logs each stall and departure: 21 of 21 stalls with nothing pending or unwritten, reading on, and a connection that no longer knows the stream; before them "attempt of O5000b16 done=true drops relay of O600600a". Back pressure and a full client are so excluded.

Change: the connection acts for a stream only while it receives that stream's value (stopRelaying and setReading name the stream); the stream is set before its first write; a stream that finds its node silent ends by itself. Discovery's answer timer looks at its own call first. This works because a stream whose value is complete has no part in the connection any more.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -313,7 +313,7 @@
         }
 
         private void answerOverdue() {
-            if (!contentReceived) {
+            if (!ended && !contentReceived) {
                 fail("no answer to the call after a silent watch", Router.ListKind.SILENT);
                 afterSilence = false; // only one call is limited: later ones are further apart
             }
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -277,11 +277,13 @@
             receivingPieces = true;
             relayedAnswer = answer;
             relay = a.done ? null : pool.pools.proxy.relays.begin(a, answer, this);
-            if (relay == null) {
-                end(a, answer.outcome, answer); // it stays queued until its pieces are read
-                if (!anyWaitingAfterFirst()) {
-                    close(); // discarding up to 4 MiB costs more than a new connection
-                }
+            if (relay != null) {
+                relay.start();
+                return;
+            }
+            end(a, answer.outcome, answer); // it stays queued until its pieces are read
+            if (!anyWaitingAfterFirst()) {
+                close(); // discarding up to 4 MiB costs more than a new connection
             }
             return;
         }
@@ -295,7 +297,7 @@
         if (relay != null) {
             ValueStream r = relay;
             relay = null;
-            setReading(true);
+            channel.config().setAutoRead(true);
             r.completed();
         }
         if (a != null) {
@@ -320,15 +322,23 @@
         }
     }
 
-    /** Turns reading from the connection on or off. */
-    void setReading(boolean on) {
-        channel.config().setAutoRead(on);
+    /** Turns reading on or off for a stream; without effect unless its value is being received. */
+    void setReading(ValueStream stream, boolean on) {
+        if (relay == stream) {
+            channel.config().setAutoRead(on);
+        }
     }
 
-    /** The client that the value is being relayed to has left. */
-    void stopRelaying(Attempt a) {
+    /**
+     * The client that a value is streamed to has left. A value that has been received whole may still wait
+     * for its client, while this connection serves other attempts, whose values must go on.
+     */
+    void stopRelaying(ValueStream stream, Attempt a) {
+        if (relay != stream) {
+            return;
+        }
+        setReading(stream, true);
         relay = null;
-        setReading(true);
         if (!a.done) {
             giveUp(a);
             pool.pools.proxy.attemptEnded(a, Router.Outcome.CANCELLED, null);
--- a/src/main/java/holdproxy/net/ValueStream.java
+++ b/src/main/java/holdproxy/net/ValueStream.java
@@ -39,6 +39,7 @@
     private boolean reading = true;
     private long lastProgressUs;
 
+    /** {@code head}: the response's first line; nothing is written before {@link #start}. */
     ValueStream(
             Proxy proxy, ValueStreams streams, Attempt attempt, NodeConnection node, ByteBuf head) {
         this.proxy = proxy;
@@ -51,6 +52,10 @@
         pending.add(head);
         stallCheck = proxy.every(STALL_CHECK_MS, this::checkStall);
         session.setStream(slot, this);
+    }
+
+    /** Begins to write to the client; called once the node's connection passes the value on to this. */
+    void start() {
         pump();
     }
 
@@ -104,7 +109,7 @@
             lastProgressUs = proxy.now(); // the node could not send anything until now
         }
         reading = on;
-        node.setReading(on);
+        node.setReading(this, on);
     }
 
     private void write(ByteBuf bytes) {
@@ -143,7 +148,8 @@
                             ? "node " + node.pool.name + " fell silent in the middle of a value"
                             : "a client takes nothing of its value: closed");
             if (waitingForNode) {
-                node.close(); // also ends the transfer
+                node.close();
+                nodeFailed(); // unless the connection has passed on its end already
             } else {
                 session.abort();
             }
@@ -167,7 +173,7 @@
         if (!finished) {
             finish();
             streams.finished(attempt.exchange, false);
-            node.stopRelaying(attempt);
+            node.stopRelaying(this, attempt);
         }
     }
 
--- a/src/test/java/holdproxy/net/LargeValueTest.java
+++ b/src/test/java/holdproxy/net/LargeValueTest.java
@@ -287,6 +287,70 @@
         assertEquals(0, proxy.openRequests());
     }
 
+    /** A client's value, received whole but not taken by the client; returns the node's connection. */
+    private EmbeddedChannel receiveValueThatIsNotTaken(String id) {
+        EmbeddedChannel node = beginValue(id, 70_000);
+        setWritable(false);
+        node.writeInbound(Unpooled.wrappedBuffer(new byte[70_000]), bytes("\r\n"));
+        assertEquals(("VA 70000 O" + id + "\r\n").length(), output(client).length);
+        return node;
+    }
+
+    /** Guards against a client that leaves and takes along another client's value on the same connection. */
+    @Test
+    void aClientThatLeavesDoesNotStopAnotherClientsValue() {
+        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        EmbeddedChannel node = receiveValueThatIsNotTaken("a1");
+        EmbeddedChannel leaving = client;
+        client = new EmbeddedChannel(proxy.handlers());
+        assertEquals(node, beginValue("a2", MIB), "the connection is used again");
+        byte[] value = value(MIB);
+        node.writeInbound(Unpooled.wrappedBuffer(value, 0, 1000));
+        leaving.close();
+        node.writeInbound(Unpooled.wrappedBuffer(value, 1000, MIB - 1000), bytes("\r\n"));
+        assertArrayEquals(response("Oa2", value), output(client));
+        assertEquals("1/0/0 active 0", counts());
+        assertEquals(0, proxy.openRequests());
+    }
+
+    /** The same fault: the node of a client that takes nothing was read on when another client left. */
+    @Test
+    void aClientThatLeavesDoesNotResumeReadingForAnotherClientsValue() {
+        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        EmbeddedChannel node = receiveValueThatIsNotTaken("a1");
+        EmbeddedChannel leaving = client;
+        client = new EmbeddedChannel(proxy.handlers());
+        beginValue("a2", MIB);
+        setWritable(false);
+        assertFalse(node.config().isAutoRead());
+        leaving.close();
+        assertFalse(node.config().isAutoRead(), "the other client takes nothing");
+        setWritable(true);
+        assertTrue(node.config().isAutoRead());
+    }
+
+    /** A stream of one client among many on the connection, each of which leaves at another moment. */
+    @Test
+    void aValueComesWholeWhicheverEarlierClientLeaves() {
+        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        byte[] value = value(MIB);
+        for (int leaves = 0; leaves < 3; leaves++) {
+            List<EmbeddedChannel> earlier = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                client = new EmbeddedChannel(proxy.handlers());
+                receiveValueThatIsNotTaken("e" + leaves + i);
+                earlier.add(client);
+            }
+            client = new EmbeddedChannel(proxy.handlers());
+            EmbeddedChannel node = beginValue("a" + leaves, MIB);
+            earlier.get(leaves).close();
+            node.writeInbound(Unpooled.wrappedBuffer(value), bytes("\r\n"));
+            assertArrayEquals(response("Oa" + leaves, value), output(client));
+            earlier.forEach(EmbeddedChannel::close);
+        }
+        assertEquals(0, proxy.openRequests());
+    }
+
     @Test
     void onceAValueHasBegunNoOtherAttemptMayAnswer() {
         for (int i = 0; i < 60; i++) { // earn the budget for a second copy
