Peers that stop within a command no longer use up the memory for read buffers

Cause: MetaDecoder left incomplete lines and blocks in the direct buffer of the first read, which grows to 128 KiB; no budget counted it, and 128 of them are the 16 MB of the run line. Each further allocation then waits about half a second inside the JDK, on the loop. Evidence: the watchdog names Bits.reserveMemory under AbstractByteBuf.ensureWritable0; IncompleteInputTest finds 131,072 bytes of direct memory kept after one half-sent write, and after one half answer of a node.

Change: incomplete lines and blocks are collected on the heap within budgets (BlockBuffer), for clients and nodes; clients are read into heap buffers of 16 KiB at most; streamed values count from their receipt with their read buffers, and beyond 8 MiB each connection is read in parts of 8 KiB; console callers hold 1 KiB. A later command that stops gets an error after 2.5 s as the first one does. This works because no read buffer outlives its read but for streamed pieces, which are counted by what they keep.

--- a/src/main/java/holdproxy/console/Console.java
+++ b/src/main/java/holdproxy/console/Console.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -42,6 +43,9 @@
     private static final int BIND_RETRY_MS = 200;
     private static final int BACKLOG = 64;
 
+    /** A caller that stops within its line holds a buffer of this size. */
+    private static final int READ_BYTES = 1024;
+
     private final EventLoop loop;
     private final ConsoleOperations operations;
     private final Consumer<String> log;
@@ -70,6 +74,9 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new FixedRecvByteBufAllocator(READ_BYTES))
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -31,6 +31,9 @@
      */
     static final int FIRST_COMMAND_TIMEOUT_MS = 2500;
 
+    /** The same for a later command that has begun, counted from the last byte that arrived of it. */
+    static final int INCOMPLETE_COMMAND_TIMEOUT_MS = 2500;
+
     /**
      * A client that is sending a large value must be disconnected within 6 s. It keeps its connection up to
      * this limit as long as it has sent more of the value within {@link #MAX_PART_GAP_MS}.
@@ -63,6 +66,7 @@
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
     private Future<?> firstCommandTimer;
+    private Future<?> incompleteCommandTimer;
     private Future<?> unwritableTimer;
 
     /** When the last part of a large value arrived. */
@@ -119,8 +123,36 @@
         }
     }
 
-    boolean idle() {
-        return slots.isEmpty();
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        cancelIncompleteCommandTimer();
+        if (firstCommandTimer.isDone() && decoder.isIncomplete()) {
+            incompleteCommandTimer =
+                    ctx.executor()
+                            .schedule(
+                                    this::onIncompleteCommandTimeout,
+                                    INCOMPLETE_COMMAND_TIMEOUT_MS,
+                                    TimeUnit.MILLISECONDS);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void cancelIncompleteCommandTimer() {
+        if (incompleteCommandTimer != null) {
+            incompleteCommandTimer.cancel(false);
+            incompleteCommandTimer = null;
+        }
+    }
+
+    /** Ends a connection whose client has stopped within a command, behind the answers that are due. */
+    private void onIncompleteCommandTimeout() {
+        if (ignoringInput) {
+            return;
+        }
+        endInput();
+        Slot slot = new Slot();
+        slots.add(slot);
+        answer(slot, "CLIENT_ERROR incomplete command");
     }
 
     /** The connection limit is reached: this connection is closed after refusing its first request. */
@@ -389,6 +421,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         firstCommandTimer.cancel(false);
+        cancelIncompleteCommandTimer();
         if (unwritableTimer != null) {
             unwritableTimer.cancel(false);
         }
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +33,6 @@
     final double sizeBytes;
     final boolean repeat;
     static final int NOT_STATED = -1;
-    private static final byte[] EMPTY = {};
     private final String beforeWait;
     private final String afterWait;
     private byte[] value;
@@ -225,18 +223,14 @@
 
         private Command pending;
         private String pendingFault;
-        private final ByteBudget budget;
-        private byte[] buffer = EMPTY;
-        private int received;
-        private int length;
-        private boolean discarding;
+        private final InputBudgets budgets;
 
         /**
-         * {@code budget}: the memory for values that are still arriving; {@code clock}: in microseconds.
+         * {@code budgets}: the memory for values that are still arriving; {@code clock}: in microseconds.
          */
-        Decoder(Names names, ByteBudget budget, InputScheduler scheduler, LongSupplier clock) {
+        Decoder(Names names, InputBudgets budgets, InputScheduler scheduler, LongSupplier clock) {
             this.names = names;
-            this.budget = budget;
+            this.budgets = budgets;
             this.scheduler = scheduler;
             this.clock = clock;
         }
@@ -317,7 +311,7 @@
         }
 
         private int request(String line, String[] tokens, boolean write, List<Object> out) {
-            length = write ? parseNumber(tokens[2]) : NO_BLOCK;
+            int length = write ? parseNumber(tokens[2]) : NO_BLOCK;
             try {
                 pending = new Command(line, tokens, write, names);
                 pendingFault = null;
@@ -345,66 +339,43 @@
         }
 
         @Override
-        void onBlockPart(ByteBuf in, int bytes, List<Object> out) {
-            if (discarding || !budget.reserve(bytes)) {
-                releaseBuffer();
-                // the rest is read, to find the next command, but not stored
-                discarding = true;
-                in.skipBytes(bytes);
-            } else {
-                // grows with the bytes received, not to the length that the header states
-                if (buffer.length < received + bytes) {
-                    buffer =
-                            Arrays.copyOf(
-                                    buffer,
-                                    Math.min(
-                                            length, Math.max(2 * buffer.length, received + bytes)));
-                }
-                in.readBytes(buffer, received, bytes);
-                received += bytes;
-            }
-            out.add(VALUE_PART);
+        ByteBudget budgetFor(int length) {
+            return length > MAX_BUFFERED_VALUE_BYTES
+                    ? budgets.largeValues()
+                    : budgets.smallValues();
         }
 
         @Override
-        void discardInput() {
-            super.discardInput();
-            releaseBuffer();
-        }
-
-        private void releaseBuffer() {
-            budget.release(received);
-            received = 0;
-            buffer = EMPTY;
+        void onPartCollected(List<Object> out) {
+            out.add(VALUE_PART);
         }
 
         @Override
-        void onBlockEnd(List<Object> out) {
-            byte[] value = buffer;
-            releaseBuffer(); // whoever accepts the command reserves memory for it right away
-            if (discarding && pendingFault == null) {
-                out.add(new ValueDropped(pending));
-                pending = null;
+        void onBlockDropped(List<Object> out) {
+            if (pendingFault != null) {
+                out.add(new Fault(pendingFault, false));
             } else {
-                onBlock(value, out);
+                out.add(new ValueDropped(pending));
             }
-            discarding = false;
+            pending = null;
         }
 
         @Override
         protected void handlerRemoved0(ChannelHandlerContext ctx) {
-            releaseBuffer();
+            super.handlerRemoved0(ctx);
             scheduler.remove(this);
         }
 
         @Override
         void onProtocolError(String why, List<Object> out) {
-            releaseBuffer();
             pending = null;
             out.add(new Fault("CLIENT_ERROR " + why, true));
         }
     }
 
+    /** The memory for values that arrive in parts, shared by all clients. */
+    record InputBudgets(ByteBudget smallValues, ByteBudget largeValues) {}
+
     /** Another part of a large value has arrived: the client is still sending. */
     static final Object VALUE_PART = new Object();
 
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -1,8 +1,10 @@
 package holdproxy.net;
 
 import holdproxy.policy.Router;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -14,8 +16,13 @@
     /** Idle connections are closed before the node does it: 1 part in this many of its timeout earlier. */
     private static final long IDLE_MARGIN_DIVISOR = 5;
 
+    /** Bound on what is held of nodes' values up to 64 KiB that arrive in parts. */
+    private static final long MAX_PARTIAL_RESPONSE_BYTES = 8L << 20;
+
     final Proxy proxy;
     final Log log;
+    private final ByteBudget partialResponseBytes = new ByteBudget(MAX_PARTIAL_RESPONSE_BYTES);
+    private final RecvByteBufAllocator receiveBuffers;
     int maxStreams;
     long idleTimeoutUs;
     private final int maxConnections;
@@ -40,6 +47,7 @@
         this.maxConnections = maxConnections;
         this.loop = loop;
         this.transport = transport;
+        receiveBuffers = new RelayReceiveBuffers(proxy.relays::hasRoom);
         applySettings(config.settings);
     }
 
@@ -105,12 +113,14 @@
         }
         openConnections++;
         dials++;
-        NodeResponse.Decoder decoder = new NodeResponse.Decoder();
+        NodeResponse.Decoder decoder = new NodeResponse.Decoder(partialResponseBytes);
         NodeConnection c = new NodeConnection(pool, pool.address, dialTimeoutUs, decoder);
         pool.onOpened(c);
-        transport
-                .connect(pool.address, (int) Math.max(1, dialTimeoutUs / 1000), decoder, c)
-                .addListener((ChannelFutureListener) c::onConnectDone);
+        ChannelFuture connected =
+                transport.connect(
+                        pool.address, (int) Math.max(1, dialTimeoutUs / 1000), decoder, c);
+        connected.channel().config().setRecvByteBufAllocator(receiveBuffers);
+        connected.addListener((ChannelFutureListener) c::onConnectDone);
         return c;
     }
 
--- a/src/main/java/holdproxy/net/NodeResponse.java
+++ b/src/main/java/holdproxy/net/NodeResponse.java
@@ -79,8 +79,14 @@
     }
 
     static final class Decoder extends MetaDecoder {
+        private final ByteBudget budget;
         private NodeResponse pending;
 
+        /** {@code budget}: the memory, shared by all connections, for values that arrive in parts. */
+        Decoder(ByteBudget budget) {
+            this.budget = budget;
+        }
+
         @Override
         int onLine(String line, List<Object> out) {
             String[] tokens = line.split(" ");
@@ -89,7 +95,7 @@
                     pending = new NodeResponse(Router.Outcome.OK);
                     parseFlags(pending, tokens, 2);
                     int length = tokens.length < 2 ? -2 : parseNumber(tokens[1]);
-                    if (length > MAX_BUFFERED_VALUE_BYTES && length <= MAX_VALUE_BYTES) {
+                    if (passesOn(length)) {
                         pending.streamedLength = length;
                         out.add(pending);
                         pending = null;
@@ -142,12 +148,29 @@
         }
 
         @Override
-        void onBlockPart(ByteBuf in, int bytes, List<Object> out) {
+        ByteBudget budgetFor(int length) {
+            return budget;
+        }
+
+        /** For want of memory the value cannot be passed on, which counts as a failure of the node. */
+        @Override
+        void onBlockDropped(List<Object> out) {
+            pending = null;
+            out.add(new NodeResponse(Router.Outcome.ERROR));
+        }
+
+        @Override
+        boolean passesOn(int length) {
+            return length > MAX_BUFFERED_VALUE_BYTES && length <= MAX_VALUE_BYTES;
+        }
+
+        @Override
+        void onPiece(ByteBuf in, int bytes, List<Object> out) {
             out.add(in.readRetainedSlice(bytes));
         }
 
         @Override
-        void onBlockEnd(List<Object> out) {
+        void onPiecesEnd(List<Object> out) {
             out.add(VALUE_END);
         }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -24,6 +24,9 @@
     /** Bound on the values of open write requests. */
     private static final long MAX_VALUE_BYTES = 16L << 20;
 
+    /** Bound on what is held of values up to 64 KiB that clients send in parts. */
+    private static final long MAX_PARTIAL_VALUE_BYTES = 8L << 20;
+
     /** Bound on the answers that clients have not read yet. */
     private static final long MAX_UNREAD_BYTES = 12L << 20;
 
@@ -84,6 +87,8 @@
     final CounterLog counterLog;
     private long nextId = 1;
     private final ByteBudget valueBytes = new ByteBudget(MAX_VALUE_BYTES);
+    private final Command.InputBudgets inputBudgets =
+            new Command.InputBudgets(new ByteBudget(MAX_PARTIAL_VALUE_BYTES), valueBytes);
     private long unreadBytes;
     private final InputScheduler inputScheduler;
     final ValueStreams relays = new ValueStreams(this);
@@ -215,7 +220,8 @@
 
     /** The channel handlers of a client connection. */
     ChannelHandler[] handlers() {
-        Command.Decoder decoder = new Command.Decoder(names, valueBytes, inputScheduler, this::now);
+        Command.Decoder decoder =
+                new Command.Decoder(names, inputBudgets, inputScheduler, this::now);
         return new ChannelHandler[] {
             new FlushConsolidationHandler(), decoder, new ClientSession(this, decoder)
         };
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -9,6 +10,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -22,9 +24,22 @@
 final class Sockets implements Transport {
     private static final int BACKLOG = 512;
 
-    /** Reads of one socket, of at most 64 KiB each, before the others: one peer must not delay them. */
+    /** Reads of one socket before the others: one peer must not delay them. */
     private static final int MAX_READS_PER_PASS = 4;
 
+    /** The same for clients, whose reads are smaller. */
+    private static final int MAX_CLIENT_READS_PER_PASS = 16;
+
+    /** The largest read of a client's socket; a client that waits for its turn may hold as much. */
+    private static final int MAX_CLIENT_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+
+    /** The memory for direct buffers is small, and clients may make the proxy keep what they have sent. */
+    private static final ByteBufAllocator CLIENT_BUFFERS =
+            new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT);
+
     private final EventLoop loop;
     private final Bootstrap client;
     private final ServerSocketChannel inherited;
@@ -39,11 +54,16 @@
                         // not channel(Class), whose reflection is costly during start-up
                         .channelFactory(NioSocketChannel::new)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers());
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator()
+                                        .maxMessagesPerRead(MAX_READS_PER_PASS));
     }
 
-    private static RecvByteBufAllocator receiveBuffers() {
-        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_PASS);
+    private static RecvByteBufAllocator clientReads() {
+        return new AdaptiveRecvByteBufAllocator(
+                        MIN_READ_BYTES, FIRST_READ_BYTES, MAX_CLIENT_READ_BYTES)
+                .maxMessagesPerRead(MAX_CLIENT_READS_PER_PASS);
     }
 
     @Override
@@ -67,7 +87,8 @@
                 new ServerBootstrap()
                         .group(loop, loop)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
+                        .childOption(ChannelOption.ALLOCATOR, CLIENT_BUFFERS)
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, clientReads())
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
--- a/src/main/java/holdproxy/net/ValueStream.java
+++ b/src/main/java/holdproxy/net/ValueStream.java
@@ -19,6 +19,23 @@
 
     private static final int STALL_CHECK_MS = 500;
 
+    /** A piece is copied if its read buffer is more than this many times its size. */
+    private static final int MAX_BUFFER_RATIO = 2;
+
+    /** Data of the value and the size of the buffer that it keeps. */
+    private record Piece(ByteBuf bytes, int heldBytes) {
+        static Piece of(ByteBuf bytes) {
+            int size = bytes.readableBytes();
+            ByteBuf readBuffer = bytes.unwrap() == null ? bytes : bytes.unwrap();
+            if (readBuffer.capacity() <= MAX_BUFFER_RATIO * size) {
+                return new Piece(bytes, readBuffer.capacity());
+            }
+            ByteBuf copy = Unpooled.buffer(size).writeBytes(bytes);
+            bytes.release();
+            return new Piece(copy, size);
+        }
+    }
+
     private final Proxy proxy;
     private final ValueStreams streams;
     private final Attempt attempt;
@@ -27,7 +44,7 @@
     private final ClientSession.Slot slot;
 
     /** Data received but not yet passed to the client's connection. */
-    private final ArrayDeque<ByteBuf> pending = new ArrayDeque<>();
+    private final ArrayDeque<Piece> pending = new ArrayDeque<>();
 
     private final Future<?> stallCheck;
 
@@ -49,7 +66,7 @@
         session = attempt.exchange.session;
         slot = attempt.exchange.slot;
         lastProgressUs = proxy.now();
-        pending.add(head);
+        addPending(head);
         stallCheck = proxy.every(STALL_CHECK_MS, this::checkStall);
         session.setStream(slot, this);
     }
@@ -66,14 +83,20 @@
             return;
         }
         lastProgressUs = proxy.now();
-        pending.add(bytes);
+        addPending(bytes);
         pump();
     }
 
+    private void addPending(ByteBuf bytes) {
+        Piece piece = Piece.of(bytes);
+        streams.addHeld(piece.heldBytes());
+        pending.add(piece);
+    }
+
     /** The value is complete and correctly framed. */
     void completed() {
         complete = true;
-        pending.add(Unpooled.wrappedBuffer(new byte[] {'\r', '\n'}));
+        addPending(Unpooled.wrappedBuffer(new byte[] {'\r', '\n'}));
         pump();
     }
 
@@ -112,16 +135,15 @@
         node.setReading(this, on);
     }
 
-    private void write(ByteBuf bytes) {
-        int size = bytes.readableBytes();
+    private void write(Piece piece) {
+        int size = piece.bytes().readableBytes();
         boolean last = complete && pending.isEmpty();
         unwrittenBytes += size;
-        streams.addHeld(size);
-        session.write(bytes)
+        session.write(piece.bytes())
                 .addListener(
                         f -> {
                             unwrittenBytes -= size;
-                            streams.addHeld(-size);
+                            streams.addHeld(-piece.heldBytes());
                             lastProgressUs = proxy.now();
                             if (last) {
                                 streams.finished(attempt.exchange, f.isSuccess());
@@ -180,8 +202,9 @@
     private void finish() {
         finished = true;
         stallCheck.cancel(false);
-        for (ByteBuf b = pending.poll(); b != null; b = pending.poll()) {
-            b.release();
+        for (Piece p = pending.poll(); p != null; p = pending.poll()) {
+            p.bytes().release();
+            streams.addHeld(-p.heldBytes());
         }
     }
 }
--- a/src/main/java/holdproxy/net/ValueStreams.java
+++ b/src/main/java/holdproxy/net/ValueStreams.java
@@ -5,8 +5,11 @@
 
 /** Starts and finishes streamed values, and keeps count of the memory that all of them hold. */
 final class ValueStreams {
-    /** Limit for all streamed values together; above it, only those that hold nothing are read on. */
-    private static final long MAX_HELD_BYTES = 12L << 20;
+    /**
+     * Limit for all streamed values together; above it, only those that hold nothing are read on, in small
+     * reads.
+     */
+    private static final long MAX_HELD_BYTES = 8L << 20;
 
     private final Proxy proxy;
     private long heldBytes;
@@ -50,6 +53,7 @@
         return proxy.outcomes(x.command);
     }
 
+    /** Adds to the memory of what was received of streamed values and not yet taken by their clients. */
     void addHeld(int change) {
         heldBytes += change;
     }
