Tests: a closed listener refuses connections once close() has returned

Cause: ServingTest.anUnsafeRequestThatReachedNoNodeIsRefusedWithARetryTime failed once ("SERVER_ERROR failed" instead of busy), at a load of 20. A thread in accept() keeps the kernel's socket after ServerSocket.close() has returned, so that the proxy's connection came up, its write was sent and then reset: it may have run. Change: Peer.Listener.close joins that thread. No check changes: the node still has to refuse.

--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -84,6 +84,7 @@
         private final ServerSocket server;
         private final BlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
         private final List<Peer> all = new CopyOnWriteArrayList<>();
+        private final Thread thread = new Thread(this::accept, "listener");
 
         Listener() throws IOException {
             this(0);
@@ -92,7 +93,6 @@
         /** Listens on this port, which an earlier listener may have used; 0 for any port. */
         Listener(int port) throws IOException {
             server = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
-            Thread thread = new Thread(this::accept, "listener");
             thread.setDaemon(true);
             thread.start();
         }
@@ -134,9 +134,15 @@
             return all.size();
         }
 
+        /** Returns once new connections are refused: until accept() has ended, the kernel still takes them. */
         @Override
         public void close() throws IOException {
             server.close();
+            try {
+                thread.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             for (Peer p : all) {
                 p.close();
             }
