Peers that send byte by byte cost one read a pass, discovery's lists come in smaller parts

Cause: the adaptive read buffer shrank to 64 bytes for a client that sends byte by byte, so that each pass made as many reads of its socket as are allowed. Discovery's socket was read four times 64 KiB a pass, which may be 6,500 small lists. Change: read buffers of 2 KiB at least, four reads a pass for clients, one read of 16 KiB a pass for discovery. Result: FloodingClientTest.aPeerThatSendsByteByByteIsReadInBuffersThatTakeAllOfIt fails with the former least size of 64 bytes and passes now.

--- a/src/main/java/holdproxy/net/RelayReceiveBuffers.java
+++ b/src/main/java/holdproxy/net/RelayReceiveBuffers.java
@@ -15,11 +15,15 @@
     /** Reads of one socket before the others: a large value must not delay them. */
     private static final int MAX_READS_PER_PASS = 4;
 
+    private static final int MAX_READ_BYTES = 64 * 1024;
+    private static final int MIN_READ_BYTES = 2 * 1024;
+
     /** The largest read when streamed values hold their limit. */
     static final int SMALL_READ_BYTES = 8 * 1024;
 
     private final RecvByteBufAllocator adaptive =
-            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_PASS);
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES)
+                    .maxMessagesPerRead(MAX_READS_PER_PASS);
     private final BooleanSupplier hasRoom;
 
     /** {@code hasRoom}: whether streamed values may hold more. */
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -24,17 +24,19 @@
 final class Sockets implements Transport {
     private static final int BACKLOG = 512;
 
-    /** Reads of one socket before the others: one peer must not delay them. */
-    private static final int MAX_READS_PER_PASS = 4;
-
-    /** The same for clients, whose reads are smaller. */
-    private static final int MAX_CLIENT_READS_PER_PASS = 16;
+    /** Reads of a client's socket before the others: one peer must not delay them. */
+    static final int MAX_CLIENT_READS_PER_PASS = 4;
 
     /** The largest read of a client's socket; a client that waits for its turn may hold as much. */
-    private static final int MAX_CLIENT_READ_BYTES = 16 * 1024;
+    static final int MAX_CLIENT_READ_BYTES = 16 * 1024;
+
+    /** The same for discovery, which may send many lists in as many bytes. */
+    private static final int MAX_DISCOVERY_READS_PER_PASS = 1;
 
-    private static final int MIN_READ_BYTES = 64;
-    private static final int FIRST_READ_BYTES = 2 * 1024;
+    private static final int MAX_DISCOVERY_READ_BYTES = 16 * 1024;
+
+    /** The smallest read; a peer that sends byte by byte must not cost a read for every few of them. */
+    static final int MIN_READ_BYTES = 2 * 1024;
 
     /** The memory for direct buffers is small, and clients may make the proxy keep what they have sent. */
     private static final ByteBufAllocator CLIENT_BUFFERS =
@@ -54,16 +56,16 @@
                         // not channel(Class), whose reflection is costly during start-up
                         .channelFactory(NioSocketChannel::new)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        // of discovery; connections to nodes have read buffers of their own
                         .option(
                                 ChannelOption.RECVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator()
-                                        .maxMessagesPerRead(MAX_READS_PER_PASS));
+                                reads(MAX_DISCOVERY_READ_BYTES, MAX_DISCOVERY_READS_PER_PASS));
     }
 
-    private static RecvByteBufAllocator clientReads() {
-        return new AdaptiveRecvByteBufAllocator(
-                        MIN_READ_BYTES, FIRST_READ_BYTES, MAX_CLIENT_READ_BYTES)
-                .maxMessagesPerRead(MAX_CLIENT_READS_PER_PASS);
+    /** Read buffers that adapt to what a peer sends, within limits that suit its kind. */
+    static RecvByteBufAllocator reads(int maxBytes, int maxReadsPerPass) {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, maxBytes)
+                .maxMessagesPerRead(maxReadsPerPass);
     }
 
     @Override
@@ -88,7 +90,9 @@
                         .group(loop, loop)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.ALLOCATOR, CLIENT_BUFFERS)
-                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, clientReads())
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                reads(MAX_CLIENT_READ_BYTES, MAX_CLIENT_READS_PER_PASS))
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
--- a/src/test/java/holdproxy/net/FloodingClientTest.java
+++ b/src/test/java/holdproxy/net/FloodingClientTest.java
@@ -9,6 +9,7 @@
 import holdproxy.policy.Router;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
@@ -187,4 +188,26 @@
         NodeResponse.Decoder decoder = node.pipeline().get(NodeResponse.Decoder.class);
         assertTrue(decoder == null || !decoder.hasUndecodedInput());
     }
+
+    /** A read that leaves room in its buffer ends the pass; with small buffers such a peer cost sixteen. */
+    @Test
+    void aPeerThatSendsByteByByteIsReadInBuffersThatTakeAllOfIt() {
+        RecvByteBufAllocator.Handle reads =
+                Sockets.reads(Sockets.MAX_CLIENT_READ_BYTES, Sockets.MAX_CLIENT_READS_PER_PASS)
+                        .newHandle();
+        for (int i = 0; i < 50; i++) {
+            reads.reset(timers.config());
+            reads.attemptedBytesRead(reads.guess());
+            reads.lastBytesRead(40);
+            reads.incMessagesRead(1);
+            assertFalse(reads.continueReading());
+            reads.readComplete();
+            assertTrue(reads.guess() >= Sockets.MIN_READ_BYTES, reads.guess() + " bytes");
+        }
+        for (int i = 0; i < 50; i++) {
+            reads.attemptedBytesRead(reads.guess());
+            reads.lastBytesRead(reads.guess());
+        }
+        assertEquals(Sockets.MAX_CLIENT_READ_BYTES, reads.guess());
+    }
 }
