A second copy that is started behind the end of its request has an outcome

The node's count of requests in flight stays one too high for good. Cause: a request was forgotten as soon as it was answered, while the timer of its second copy was still queued for the router ahead of that end. The router counts the attempt, and Proxy.send threw as it no longer knew the request. Change: a request is kept until the events about it that are queued have been delivered; the attempt then ends as not sent.

--- a/src/main/java/holdproxy/net/Exchange.java
+++ b/src/main/java/holdproxy/net/Exchange.java
@@ -25,6 +25,10 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     int openAttempts;
     boolean answered;
+
+    /** Events about this request that are queued for the router. */
+    int queuedEvents;
+
     Future<?> overdueTimer;
 
     Exchange(
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -318,26 +318,42 @@
         if (!x.answered) {
             log.line(why);
             answerFailed(x);
-            events.add(() -> router.onAborted(now(), x.id, this));
+            report(x, () -> router.onAborted(now(), x.id, this));
         }
     }
 
     void clientDisconnected(Exchange x) {
         if (!x.answered) {
             markAnswered(x);
-            events.add(() -> router.onAborted(now(), x.id, this));
+            report(x, () -> router.onAborted(now(), x.id, this));
         }
     }
 
+    /**
+     * Queues an event about a request for the router. The request is kept until then: an event that was
+     * queued before may still start an attempt, which needs an outcome like any other.
+     */
+    private void report(Exchange x, Runnable event) {
+        x.queuedEvents++;
+        events.add(
+                () -> {
+                    x.queuedEvents--;
+                    event.run();
+                    removeIfFinished(x);
+                });
+    }
+
     private void markAnswered(Exchange x) {
         x.answered = true;
         figures.active.add(-1);
         x.overdueTimer.cancel(false);
-        removeIfFinished(x);
     }
 
     private void removeIfFinished(Exchange x) {
-        if (x.answered && x.openAttempts == 0 && exchanges.remove(x.id) != null) {
+        if (x.answered
+                && x.openAttempts == 0
+                && x.queuedEvents == 0
+                && exchanges.remove(x.id) != null) {
             valueBytes.release(x.command.valueBytes());
         }
     }
@@ -394,9 +410,9 @@
             Figures.Outcomes outcomes = outcomes(x.command);
             (written ? outcomes.ok : outcomes.errors).add(1);
         }
-        removeIfFinished(x);
         long latencyUs = a.firstBytesUs >= 0 ? a.firstBytesUs : latencyUs(a, now());
-        events.add(
+        report(
+                x,
                 () -> {
                     if (answer != null) {
                         answer.report(report);
@@ -541,6 +557,7 @@
             markAnswered(x);
             outcomes(x.command).shed.add(1);
             x.session.answer(x.slot, busyAnswer(retryAfterUs));
+            removeIfFinished(x);
         }
     }
 
@@ -549,6 +566,7 @@
         Exchange x = exchanges.get(id);
         if (x != null && !x.answered) {
             answerFailed(x);
+            removeIfFinished(x);
         }
     }
 
--- a/src/test/java/holdproxy/net/EmbeddedTransport.java
+++ b/src/test/java/holdproxy/net/EmbeddedTransport.java
@@ -21,6 +21,9 @@
     /** Tasks for the next iteration of the loop are kept in {@link #nextIteration} instead of run at once. */
     boolean keepsNextIteration;
 
+    /** Also the delivery of events to the router is kept, as while sockets are still being read. */
+    boolean keepsDelivery;
+
     final ArrayDeque<Runnable> nextIteration = new ArrayDeque<>();
 
     EmbeddedChannel latestNodeConnection() {
@@ -44,7 +47,7 @@
 
     @Override
     public void afterReads(Runnable task, boolean stalled) {
-        if (stalled && keepsNextIteration) {
+        if (stalled && keepsNextIteration || keepsDelivery) {
             nextIteration.add(task);
         } else {
             task.run();
