A link that refuses connections has released its port when the call returns

Cause: LinkTest.aRefusingLinkRejectsNewConnectionsAndKeepsOpenOnes (KNOWN-RED) failed now and then on a busy machine. The port of a closed listener is released by the loop's next select; the empty task that Link.refuse waited for may run before it, in the iteration that closes the listener. Change: Link.refuse waits for a timer, which runs after a select.

--- a/src/main/java/holdproxy/harness/Link.java
+++ b/src/main/java/holdproxy/harness/Link.java
@@ -112,10 +112,18 @@
                 });
         if (!loop.inEventLoop() && pendingChange != null) {
             pendingChange.syncUninterruptibly();
-            runOnLoop(() -> {}); // a closed port is released only at the loop's next select
+            awaitNextSelect();
         }
     }
 
+    /**
+     * A closed port is released only by the loop's next select. A task may run before that, in the same
+     * iteration as the close; a timer that is set now runs after it.
+     */
+    private void awaitNextSelect() {
+        loop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
     /** Resets all open connections. */
     public void reset() {
         runOnLoop(() -> List.copyOf(connections).forEach(Connection::reset));
