Tests: one proxy in memory for four tests of net

Cause: the same set-up of clock, timers, transport, settings and list stood in four tests. Change: EmbeddedProxy has it once; no check changes.

--- a/src/test/java/holdproxy/net/FloodingClientTest.java
+++ b/src/test/java/holdproxy/net/FloodingClientTest.java
@@ -6,21 +6,16 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdproxy.policy.Router;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.util.concurrent.MockTicker;
-import io.netty.util.concurrent.Ticker;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Guards against a client that holds up all others: lines without end were handled in one iteration of the
@@ -29,30 +24,20 @@
 class FloodingClientTest {
     private static final int MANY = 20_000;
 
-    private final MockTicker ticker = Ticker.newMockTicker();
-    private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
-    private final EmbeddedTransport transport = new EmbeddedTransport();
+    private EmbeddedProxy embedded;
+    private EmbeddedTransport transport;
     private Proxy proxy;
 
     @BeforeEach
-    void start(@TempDir Path folder) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
-        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
-        Clock time = new Clock(ticker, () -> 0);
-        proxy = new Proxy(config, timers.eventLoop(), time, transport, new Log(time, line -> {}));
-        List<Discovery.Entry> entries = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
-            Router.Node node = new Router.Node();
-            node.id = i + 1;
-            entries.add(new Discovery.Entry(node, "s-" + i, config.listen));
-        }
-        proxy.nodes(Router.ListKind.CACHED, entries);
+    void start() throws IOException {
+        embedded = new EmbeddedProxy(2);
+        transport = embedded.transport;
         transport.keepsNextIteration = true;
+        proxy = embedded.proxy;
     }
 
     private EmbeddedChannel client() {
-        return new EmbeddedChannel(proxy.handlers());
+        return embedded.client();
     }
 
     private static int lines(EmbeddedChannel channel) {
@@ -149,7 +134,7 @@
         EmbeddedChannel flood = client();
         flood.writeInbound(bytes(reads(1_000)));
         assertTrue(forwarded() > 0);
-        ticker.advance(EventQueue.MAX_INPUT_AGE_US + 1_000, TimeUnit.MICROSECONDS);
+        embedded.ticker.advance(EventQueue.MAX_INPUT_AGE_US + 1_000, TimeUnit.MICROSECONDS);
         proxy.tick();
         proxy.tick();
         for (EmbeddedChannel node : List.copyOf(transport.nodeConnections)) {
@@ -196,7 +181,7 @@
                 Sockets.reads(Sockets.MAX_CLIENT_READ_BYTES, Sockets.MAX_CLIENT_READS_PER_PASS)
                         .newHandle();
         for (int i = 0; i < 50; i++) {
-            reads.reset(timers.config());
+            reads.reset(embedded.timers.config());
             reads.attemptedBytesRead(reads.guess());
             reads.lastBytesRead(40);
             reads.incMessagesRead(1);
--- a/src/test/java/holdproxy/net/IncompleteInputTest.java
+++ b/src/test/java/holdproxy/net/IncompleteInputTest.java
@@ -7,23 +7,17 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdproxy.policy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.util.concurrent.MockTicker;
-import io.netty.util.concurrent.Ticker;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Guards against peers that stop within a command, an answer or a value and use up the memory for read
@@ -36,26 +30,20 @@
     /** As many values of 64 KiB as are held in parts, in 8 MiB. */
     private static final int HELD_VALUES = 128;
 
-    private final MockTicker ticker = Ticker.newMockTicker();
-    private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
-    private final EmbeddedTransport transport = new EmbeddedTransport();
     private final UnpooledByteBufAllocator readBuffers = new UnpooledByteBufAllocator(true);
+    private EmbeddedProxy embedded;
+    private EmbeddedTransport transport;
     private Proxy proxy;
 
     @BeforeEach
-    void start(@TempDir Path folder) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
-        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
-        Clock time = new Clock(ticker, () -> 0);
-        proxy = new Proxy(config, timers.eventLoop(), time, transport, new Log(time, line -> {}));
-        proxy.nodes(
-                Router.ListKind.CACHED,
-                List.of(new Discovery.Entry(new Router.Node(), "s-0", config.listen)));
+    void start() throws IOException {
+        embedded = new EmbeddedProxy(1);
+        transport = embedded.transport;
+        proxy = embedded.proxy;
     }
 
     private EmbeddedChannel client() {
-        return EmbeddedChannel.builder().ticker(ticker).handlers(proxy.handlers()).build();
+        return embedded.client();
     }
 
     /** Receives text as from a socket, in a direct buffer with room for more. */
@@ -77,7 +65,7 @@
     }
 
     private void advance(EmbeddedChannel channel, int ms) {
-        ticker.advance(ms, TimeUnit.MILLISECONDS);
+        embedded.advance(ms);
         channel.runScheduledPendingTasks();
     }
 
@@ -189,7 +177,7 @@
     void nodesAreReadInSmallPartsOnceStreamedValuesHoldTheirLimit() {
         boolean[] hasRoom = {true};
         RecvByteBufAllocator.Handle handle = new RelayReceiveBuffers(() -> hasRoom[0]).newHandle();
-        handle.reset(timers.config());
+        handle.reset(embedded.timers.config());
         for (int i = 0; i < 10; i++) {
             handle.attemptedBytesRead(handle.guess());
             handle.lastBytesRead(handle.guess());
--- a/src/test/java/holdproxy/net/LargeValueTest.java
+++ b/src/test/java/holdproxy/net/LargeValueTest.java
@@ -9,55 +9,36 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.util.concurrent.MockTicker;
-import io.netty.util.concurrent.Ticker;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Values over 64 KiB: reads are streamed as fast as the client takes them, writes are buffered. */
 class LargeValueTest {
     private static final int MIB = 1 << 20;
 
-    private final MockTicker ticker = Ticker.newMockTicker();
-    private final EmbeddedChannel timers = EmbeddedChannel.builder().ticker(ticker).build();
-    private final EmbeddedTransport transport = new EmbeddedTransport();
-    private final List<EmbeddedChannel> nodes = transport.nodeConnections;
-    private final List<Discovery.Entry> entries = new ArrayList<>();
+    private EmbeddedProxy embedded;
+    private List<EmbeddedChannel> nodes;
     private Proxy proxy;
     private EmbeddedChannel client;
 
     @BeforeEach
-    void start(@TempDir Path folder) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(
-                file,
-                Fixture.json(
-                        Fixture.list(1, true),
-                        Fixture.SETTINGS.replace("\"secondCopies\":false", "\"secondCopies\":true"),
-                        1024));
-        Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
-        Clock time = new Clock(ticker, () -> 0);
-        proxy = new Proxy(config, timers.eventLoop(), time, transport, new Log(time, line -> {}));
-        for (int i = 0; i < 4; i++) {
-            Router.Node n = new Router.Node();
-            n.id = i + 1;
-            entries.add(new Discovery.Entry(n, "s-" + i, config.listen));
-        }
-        proxy.nodes(Router.ListKind.CACHED, entries);
+    void start() throws IOException {
+        embedded =
+                new EmbeddedProxy(
+                        4, s -> s.replace("\"secondCopies\":false", "\"secondCopies\":true"));
+        nodes = embedded.transport.nodeConnections;
+        proxy = embedded.proxy;
         client = new EmbeddedChannel(proxy.handlers());
     }
 
     private void advance(int ms) {
-        ticker.advance(ms, TimeUnit.MILLISECONDS);
-        timers.runScheduledPendingTasks();
+        embedded.advance(ms);
         client.runPendingTasks();
     }
 
@@ -299,7 +280,7 @@
     /** Guards against a client that leaves and takes along another client's value on the same connection. */
     @Test
     void aClientThatLeavesDoesNotStopAnotherClientsValue() {
-        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        proxy.nodes(Router.ListKind.FULL, embedded.entries.subList(0, 1));
         EmbeddedChannel node = receiveValueThatIsNotTaken("a1");
         EmbeddedChannel leaving = client;
         client = new EmbeddedChannel(proxy.handlers());
@@ -316,7 +297,7 @@
     /** The same fault: the node of a client that takes nothing was read on when another client left. */
     @Test
     void aClientThatLeavesDoesNotResumeReadingForAnotherClientsValue() {
-        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        proxy.nodes(Router.ListKind.FULL, embedded.entries.subList(0, 1));
         EmbeddedChannel node = receiveValueThatIsNotTaken("a1");
         EmbeddedChannel leaving = client;
         client = new EmbeddedChannel(proxy.handlers());
@@ -332,7 +313,7 @@
     /** A stream of one client among many on the connection, each of which leaves at another moment. */
     @Test
     void aValueComesWholeWhicheverEarlierClientLeaves() {
-        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        proxy.nodes(Router.ListKind.FULL, embedded.entries.subList(0, 1));
         byte[] value = value(MIB);
         for (int leaves = 0; leaves < 3; leaves++) {
             List<EmbeddedChannel> earlier = new ArrayList<>();
@@ -391,14 +372,14 @@
 
     @Test
     void aLargeWriteIsSentOnlyAsFastAsTheNodeConnectionTakesIt() {
-        proxy.nodes(Router.ListKind.FULL, entries.subList(0, 1));
+        proxy.nodes(Router.ListKind.FULL, embedded.entries.subList(0, 1));
         String write = "ms 7f " + MIB + " Ow1 Pc=charge,t=acme,d=4000\r\n";
         client.writeInbound(bytes("mg 7f v Oa1 Pc=lookup,t=acme,d=900\r\n"));
         EmbeddedChannel node = nodeWithCommand(); // same key, so its connection is reused
         node.writeInbound(bytes("VA 1 Oa1\r\n1\r\n"));
         output(client);
         // a write may reuse the connection once no second response can arrive on it
-        ticker.advance(100, TimeUnit.MILLISECONDS);
+        embedded.ticker.advance(100, TimeUnit.MILLISECONDS);
         proxy.tick();
         proxy.tick();
         client.writeInbound(bytes(write), Unpooled.wrappedBuffer(new byte[MIB]));
@@ -435,13 +416,19 @@
     void aClientSendingALargeValueGetsMoreTimeThanAnIdleOne() {
         String head = "ms 7f " + MIB + " Ow Pc=charge,t=acme,d=4000\r\n";
         EmbeddedChannel idle =
-                EmbeddedChannel.builder().ticker(ticker).handlers(proxy.handlers()).build();
+                EmbeddedChannel.builder()
+                        .ticker(embedded.ticker)
+                        .handlers(proxy.handlers())
+                        .build();
         EmbeddedChannel busy =
-                EmbeddedChannel.builder().ticker(ticker).handlers(proxy.handlers()).build();
+                EmbeddedChannel.builder()
+                        .ticker(embedded.ticker)
+                        .handlers(proxy.handlers())
+                        .build();
         idle.writeInbound(bytes(head), Unpooled.wrappedBuffer(new byte[100]));
         busy.writeInbound(bytes(head));
         for (int ms = 0; ms < 6_000; ms += 100) {
-            ticker.advance(100, TimeUnit.MILLISECONDS);
+            embedded.ticker.advance(100, TimeUnit.MILLISECONDS);
             if (busy.isActive()) {
                 busy.writeInbound(Unpooled.wrappedBuffer(new byte[1000]));
             }
