Discovery's lists are read whole again before the requests of their pass are decided

Cause: limited discovery's socket to one read of at most 16 KiB a pass. The first read takes 2 KiB, so a drain at the end of a longer list was read in a later pass than the requests that had come with it, which then went to the draining node: behind a standstill of the loop that is as late as the standstill. Result: EventOrderTest.aDrainAtTheEndOfALongListAppliesToARequestReadInTheSamePass failed before ("no connection came" at the other node) and passes now.

--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -30,10 +30,10 @@
     /** The largest read of a client's socket; a client that waits for its turn may hold as much. */
     static final int MAX_CLIENT_READ_BYTES = 16 * 1024;
 
-    /** The same for discovery, which may send many lists in as many bytes. */
-    private static final int MAX_DISCOVERY_READS_PER_PASS = 1;
+    /** The same for discovery: a whole list is read before anything is sent by the one before. */
+    private static final int MAX_DISCOVERY_READS_PER_PASS = 4;
 
-    private static final int MAX_DISCOVERY_READ_BYTES = 16 * 1024;
+    private static final int MAX_DISCOVERY_READ_BYTES = 64 * 1024;
 
     /** The smallest read; a peer that sends byte by byte must not cost a read for every few of them. */
     static final int MIN_READ_BYTES = 2 * 1024;
--- a/src/test/java/holdproxy/net/EventOrderTest.java
+++ b/src/test/java/holdproxy/net/EventOrderTest.java
@@ -183,6 +183,32 @@
         }
     }
 
+    /** The same where the drain stands at the end of a list that is longer than a first read. */
+    @Test
+    void aDrainAtTheEndOfALongListAppliesToARequestReadInTheSamePass() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            f.nodes.add(new Peer.Listener());
+            Peer watch = f.watch();
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer drains = f.nodes.get(0).next();
+            served(client, drains, "a1");
+            List<String> changes = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                changes.add(f.entry(1, "SERVING").replace("\"s-1\"", "\"s-1" + i + "\""));
+            }
+            changes.add(f.entry(0, "DRAINING"));
+            f.inOneIteration(
+                    () -> {
+                        client.send(Fixture.read("a2", 4000));
+                        Fixture.chunk(
+                                watch, Fixture.list(2, false, changes.toArray(String[]::new)));
+                    });
+            served(client, f.nodes.get(1).next(), "a2");
+            drains.expectEnd();
+        }
+    }
+
     /** The same for an attempt that follows from an answer: the retry after a refusal. */
     @Test
     void aDrainReadAfterARefusalInTheSamePassAppliesToTheNextAttempt() throws Exception {
