A request is forgotten also where its event fails; one place for adaptive reads

Cause: a failing event would have left its request and the memory of its value held for good; RelayReceiveBuffers built the read buffers that Sockets.reads builds. Change: removal in a finally; Sockets.reads is used. No limit changes.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -338,8 +338,11 @@
         events.add(
                 () -> {
                     x.queuedEvents--;
-                    event.run();
-                    removeIfFinished(x);
+                    try {
+                        event.run();
+                    } finally {
+                        removeIfFinished(x);
+                    }
                 });
     }
 
--- a/src/main/java/holdproxy/net/RelayReceiveBuffers.java
+++ b/src/main/java/holdproxy/net/RelayReceiveBuffers.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.function.BooleanSupplier;
 
@@ -16,14 +15,11 @@
     private static final int MAX_READS_PER_PASS = 4;
 
     private static final int MAX_READ_BYTES = 64 * 1024;
-    private static final int MIN_READ_BYTES = 2 * 1024;
 
     /** The largest read when streamed values hold their limit. */
     static final int SMALL_READ_BYTES = 8 * 1024;
 
-    private final RecvByteBufAllocator adaptive =
-            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES)
-                    .maxMessagesPerRead(MAX_READS_PER_PASS);
+    private final RecvByteBufAllocator adaptive = Sockets.reads(MAX_READ_BYTES, MAX_READS_PER_PASS);
     private final BooleanSupplier hasRoom;
 
     /** {@code hasRoom}: whether streamed values may hold more. */
