--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -226,7 +226,7 @@
 
         void signal(String signal) throws Exception {
             note("signal " + signal + " to " + name);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
     }
 
