Idle connections make room for others, not those with a half-received command

Cause: a connection counted as idle until a command had been received whole, so one that was writing for a second was the longest idle one. The same held for commands that had been read and waited for their connection's turn.

Change: a connection is idle once everything is answered and nothing more has been received. If none is idle, one whose client takes over 6 s for a command is refused and makes room; otherwise the new one is refused, as before.

--- a/src/main/java/holdproxy/net/ClientListener.java
+++ b/src/main/java/holdproxy/net/ClientListener.java
@@ -6,8 +6,10 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +21,9 @@
     /** Maximum number of checks, 1 ms apart, for connections still waiting in the kernel's accept queue. */
     private static final int MAX_ACCEPT_CHECKS = 100;
 
+    /** A client that takes longer for one command may have to make room for another; 60 MB may take 6 s. */
+    private static final long MAX_RECEIVING_US = 6_000_000;
+
     private final Proxy proxy;
     private final InetSocketAddress listenAddress;
     private final EventLoop loop;
@@ -31,9 +36,12 @@
     /** In order of arrival, so that runs in virtual time are reproducible. */
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
 
-    /** Idle connections, longest idle first. */
+    /** Connections on which no command has been begun, longest idle first. */
     private final Set<ClientSession> idle = new LinkedHashSet<>();
 
+    /** Connections on which only a part of a command has been received, and since when, in that order. */
+    private final Map<ClientSession, Long> receiving = new LinkedHashMap<>();
+
     private final Promise<Void> drained;
 
     /** Number of connections accepted so far. */
@@ -94,12 +102,7 @@
         accepted++;
         sessions.add(s);
         if (sessions.size() > maxConnections) {
-            // a connection may be closed between requests: the longest idle one makes room
-            if (!idle.isEmpty()) {
-                ClientSession oldest = idle.iterator().next();
-                idle.remove(oldest);
-                oldest.close();
-            } else {
+            if (!makeRoom()) {
                 s.refuseRequests();
             }
             if (sessions.size() > maxConnections + ConnectionLimits.REFUSAL_RESERVE) {
@@ -110,11 +113,42 @@
         idle.add(s);
     }
 
+    /**
+     * Ends the longest idle connection, as one may be closed between requests; otherwise the one whose
+     * client has taken longest for a command, and too long. Returns false if there is none of these.
+     */
+    private boolean makeRoom() {
+        if (!idle.isEmpty()) {
+            ClientSession oldest = idle.iterator().next();
+            idle.remove(oldest);
+            oldest.close();
+            return true;
+        }
+        if (!receiving.isEmpty()) {
+            Map.Entry<ClientSession, Long> oldest = receiving.entrySet().iterator().next();
+            if (proxy.now() - oldest.getValue() > MAX_RECEIVING_US) {
+                oldest.getKey().refuseUnfinishedCommand();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A request has been received whole and has no answer yet. */
     void busy(ClientSession s) {
         idle.remove(s);
+        receiving.remove(s);
+    }
+
+    /** Everything is answered, but a command has been received in part. */
+    void receiving(ClientSession s) {
+        idle.remove(s);
+        receiving.putIfAbsent(s, proxy.now());
     }
 
+    /** Everything is answered, and no command has been begun. */
     void idle(ClientSession s) {
+        receiving.remove(s);
         idle.add(s);
         if (draining && (listener == null || sharedListener)) {
             idle.remove(s);
@@ -126,9 +160,14 @@
         transport.shutdownOutput(channel);
     }
 
+    /** The connection is being closed, and takes no more requests. */
+    void ending(ClientSession s) {
+        busy(s);
+    }
+
     void closed(ClientSession s) {
         sessions.remove(s);
-        idle.remove(s);
+        busy(s);
         finishDrain();
     }
 
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -18,6 +18,7 @@
 
     private static final String BUSY = "SERVER_ERROR busy";
     private static final String FAILED = "SERVER_ERROR failed";
+    private static final String INCOMPLETE = "CLIENT_ERROR incomplete command";
 
     /** A client that takes none of its responses for this long is gone, though it may never disconnect. */
     private static final int UNWRITABLE_TIMEOUT_MS = 10_000;
@@ -80,6 +81,7 @@
 
     private boolean ignoringInput;
     private boolean closing;
+
     private boolean refusing;
     private boolean outputClosing;
     private boolean writing;
@@ -130,10 +132,13 @@
             incompleteCommandTimer =
                     ctx.executor()
                             .schedule(
-                                    this::onIncompleteCommandTimeout,
+                                    () -> endUnfinishedCommand(INCOMPLETE),
                                     INCOMPLETE_COMMAND_TIMEOUT_MS,
                                     TimeUnit.MILLISECONDS);
         }
+        if (slots.isEmpty() && channel.isActive()) {
+            onAllAnswered();
+        }
         ctx.fireChannelReadComplete();
     }
 
@@ -144,15 +149,23 @@
         }
     }
 
-    /** Ends a connection whose client has stopped within a command, behind the answers that are due. */
-    private void onIncompleteCommandTimeout() {
+    /** Answers a command that is half received, behind the answers that are due, and then closes. */
+    private void endUnfinishedCommand(String line) {
         if (ignoringInput) {
             return;
         }
+        firstCommandTimer.cancel(false);
         endInput();
         Slot slot = new Slot();
         slots.add(slot);
-        answer(slot, "CLIENT_ERROR incomplete command");
+        answer(slot, line);
+    }
+
+    /** Refuses a command that is half received, if there is one, and then closes the connection. */
+    void refuseUnfinishedCommand() {
+        if (decoder.isIncomplete()) {
+            endUnfinishedCommand(BUSY);
+        }
     }
 
     /** The connection limit is reached: this connection is closed after refusing its first request. */
@@ -324,6 +337,18 @@
             if (any && slots.peek().stream != null) {
                 slots.peek().stream.pump();
             }
+        } else {
+            onAllAnswered();
+        }
+    }
+
+    /**
+     * Closes the connection if it is to be closed. A command of which a part has been read is owed an answer,
+     * as one that was read whole is: it is waited for.
+     */
+    private void onAllAnswered() {
+        if (decoder.hasUnfinishedInput()) {
+            proxy.reception.receiving(this);
         } else if (closing) {
             shutDownOutput();
         } else {
@@ -403,7 +428,9 @@
             return;
         }
         outputClosing = true;
+        closing = true;
         ignoreInput();
+        proxy.reception.ending(this);
         // completes after all earlier writes, so that a slow client still gets them
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
                 .addListener(
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -94,6 +94,11 @@
         return !framingLost && (blockLength != NO_BLOCK || lineStart.length() > 0);
     }
 
+    /** Whether more has been received than whole lines and blocks that were passed on. */
+    final boolean hasUnfinishedInput() {
+        return isIncomplete() || !framingLost && hasUndecodedInput();
+    }
+
     /** Discards what is buffered and all further input, without decoding it. */
     void discardInput() {
         framingLost = true;
