A closed connection stays open until its client can have taken its answers

Cause: an answer counted as delivered once the system had it, up to 2 MB for a slow client, and the connection was closed 0.5 s later. The client's next command was answered by a reset, which throws away what the system holds.

Evidence: the log says "0 requests open" and the nodes had given everything; the resets follow the clients' next commands.

Change: clients' send buffers are 64 KiB (128 KiB in the system), so that the rest waits at the node; output is shut down first, and the connection closed once the client has closed its side, or after the time that a client of 16 KiB a second needs for what the system may still hold, 0.5 to 8 s.

--- a/src/main/java/holdproxy/net/ClientListener.java
+++ b/src/main/java/holdproxy/net/ClientListener.java
@@ -156,10 +156,6 @@
         }
     }
 
-    void shutDownOutput(Channel channel) {
-        transport.shutdownOutput(channel);
-    }
-
     /** The connection is being closed, and takes no more requests. */
     void ending(ClientSession s) {
         busy(s);
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -23,9 +23,6 @@
     /** A client that takes none of its responses for this long is gone, though it may never disconnect. */
     private static final int UNWRITABLE_TIMEOUT_MS = 10_000;
 
-    private static final int LINGER_MS = 500;
-    private static final int MAX_LINGER_MS = 10_000;
-
     /**
      * A client that sends no complete command must get an error or be disconnected within 3 s, because it
      * occupies a connection.
@@ -76,6 +73,9 @@
     /** Bytes of complete responses that have not been written to the client's socket. */
     private int unwrittenBytes;
 
+    private final UndeliveredBytes undelivered =
+            new UndeliveredBytes(Sockets.MAX_CLIENT_UNDELIVERED_BYTES);
+
     /** Lines in a row, up to the last one read, that were no command. */
     private int unknownCommands;
 
@@ -120,7 +120,7 @@
                                     TimeUnit.MILLISECONDS);
         } else {
             // also the response to a command that arrives meanwhile, which is not forwarded
-            channel.write(line("CLIENT_ERROR no command"));
+            write(line("CLIENT_ERROR no command"));
             shutDownOutput();
         }
     }
@@ -256,6 +256,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        undelivered.full(proxy.now());
         updateUnwritableTimer(ctx);
         if (!slots.isEmpty() && slots.peek().stream != null) {
             slots.peek().stream.pump();
@@ -362,12 +363,12 @@
         if (first.answer != null) {
             slots.poll();
             int size = first.answer.readableBytes();
-            channel.write(first.answer).addListener(f -> addUnwritten(-size));
+            write(first.answer).addListener(f -> addUnwritten(-size));
         } else if (first.refused > 0) {
             if (--first.refused == 0) {
                 slots.poll();
             }
-            channel.write(line(BUSY));
+            write(line(BUSY));
         } else {
             return false;
         }
@@ -389,6 +390,7 @@
     }
 
     ChannelFuture write(ByteBuf bytes) {
+        undelivered.written(bytes.readableBytes(), proxy.now());
         return channel.write(bytes);
     }
 
@@ -418,11 +420,7 @@
         }
     }
 
-    /**
-     * Shuts down output, and closes the connection when the client closes its side or a delay has passed.
-     * Closing at once with unread input would make the kernel send a reset, which can overtake the last
-     * response.
-     */
+    /** Ends the connection behind what has been written; nothing that arrives from now on is a request. */
     private void shutDownOutput() {
         if (outputClosing || !channel.isActive()) {
             return;
@@ -431,18 +429,7 @@
         closing = true;
         ignoreInput();
         proxy.reception.ending(this);
-        // completes after all earlier writes, so that a slow client still gets them
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                .addListener(
-                        f -> {
-                            proxy.reception.shutDownOutput(channel);
-                            channel.eventLoop()
-                                    .schedule(
-                                            () -> channel.close(),
-                                            LINGER_MS,
-                                            TimeUnit.MILLISECONDS);
-                        });
-        channel.eventLoop().schedule(() -> channel.close(), MAX_LINGER_MS, TimeUnit.MILLISECONDS);
+        new LingeringClose(channel, proxy.transport, undelivered, proxy::now).begin();
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -72,6 +72,7 @@
     private final Clock time;
     private final Log log;
     private final EventLoop loop;
+    final Transport transport;
     private final Command.Names names = new Command.Names();
     private final NodePools pools;
     private final Discovery discovery;
@@ -97,6 +98,7 @@
         this.loop = loop;
         this.time = time;
         this.log = log;
+        this.transport = transport;
         lateness = new LoopLag(now());
         ConnectionLimits bound =
                 ConnectionLimits.of(
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -38,6 +38,15 @@
     /** The smallest read; a peer that sends byte by byte must not cost a read for every few of them. */
     static final int MIN_READ_BYTES = 2 * 1024;
 
+    /**
+     * The size that is asked for of a client's send buffer. What is left to the system can neither be counted
+     * nor taken back, and a buffer of the usual megabytes hides whether the client takes its answers.
+     */
+    private static final int CLIENT_SEND_BUFFER_BYTES = 64 * 1024;
+
+    /** What the system holds then: Linux doubles the size, to allow for what it needs itself. */
+    static final int MAX_CLIENT_UNDELIVERED_BYTES = 2 * CLIENT_SEND_BUFFER_BYTES;
+
     /** The memory for direct buffers is small, and clients may make the proxy keep what they have sent. */
     private static final ByteBufAllocator CLIENT_BUFFERS =
             new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT);
@@ -89,6 +98,7 @@
                 new ServerBootstrap()
                         .group(loop, loop)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.SO_SNDBUF, CLIENT_SEND_BUFFER_BYTES)
                         .childOption(ChannelOption.ALLOCATOR, CLIENT_BUFFERS)
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
--- a/src/test/java/holdproxy/net/EmbeddedTransport.java
+++ b/src/test/java/holdproxy/net/EmbeddedTransport.java
@@ -24,6 +24,9 @@
     /** Also the delivery of events to the router is kept, as while sockets are still being read. */
     boolean keepsDelivery;
 
+    /** The peers of connections whose output is shut down leave them open. */
+    boolean peersStayConnected;
+
     final ArrayDeque<Runnable> nextIteration = new ArrayDeque<>();
 
     EmbeddedChannel latestNodeConnection() {
@@ -63,6 +66,8 @@
 
     @Override
     public void shutdownOutput(Channel channel) {
-        channel.close();
+        if (!peersStayConnected) {
+            channel.close();
+        }
     }
 }
