A drain waits for commands that are half received, and answers them

Cause: closing a connection looked only at commands received whole. Half a command counted as none, and its rest was read and thrown away.

Evidence: the log counts "20 idle connections of 20" while most of them are writing.

Change: a closing connection waits for the command that has been begun and serves it; what follows is refused.

--- a/src/main/java/holdproxy/net/ClientListener.java
+++ b/src/main/java/holdproxy/net/ClientListener.java
@@ -206,7 +206,7 @@
                             openMs,
                             TimeUnit.MILLISECONDS);
                     loop.schedule(
-                            proxy::failOpenRequests,
+                            this::endOpenRequests,
                             proxy.failOpenRequestsAfterMs(),
                             TimeUnit.MILLISECONDS);
                 });
@@ -236,6 +236,14 @@
         finishDrain();
     }
 
+    /** Answers all that is open, also what is half received, as the process may be killed soon. */
+    private void endOpenRequests() {
+        proxy.failOpenRequests();
+        for (ClientSession s : List.copyOf(sessions)) {
+            s.refuseUnfinishedCommand();
+        }
+    }
+
     private void finishDrain() {
         if (draining && listener == null && sessions.isEmpty()) {
             drained.trySuccess(null);
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -82,6 +82,9 @@
     private boolean ignoringInput;
     private boolean closing;
 
+    /** The command that was half received when the connection began to close is still served. */
+    private boolean servesBegunCommand;
+
     private boolean refusing;
     private boolean outputClosing;
     private boolean writing;
@@ -185,7 +188,9 @@
             return;
         }
         unknownCommands = message == Command.UNKNOWN_COMMAND ? unknownCommands + 1 : 0;
-        if (closing || slots.size() >= MAX_WAITING) {
+        boolean closed = closing && !servesBegunCommand;
+        servesBegunCommand = false;
+        if (closed || slots.size() >= MAX_WAITING) {
             refuseExcess(message);
             return;
         }
@@ -412,11 +417,15 @@
         channel.close();
     }
 
-    /** Closes the connection once all requests read from it are answered; later ones are refused. */
+    /**
+     * Closes the connection once all requests read from it are answered, and the one that is half received;
+     * later ones are refused.
+     */
     void close() {
         closing = true;
+        servesBegunCommand = decoder.isIncomplete();
         if (slots.isEmpty()) {
-            shutDownOutput();
+            onAllAnswered();
         }
     }
 
