Attempts that are given up no longer arrive at their node

Cause: closing a connection does not take back what the system was handed before, up to 2.6 MB. An earlier attempt whose bytes were still under way was not held to the window of repeats, and on a shared connection the rest of a large value was sent on.

Change: a connection that is closed while an attempt on it has no answer is reset; its send buffer is 64 KiB (128 KiB in the system); the rest of a value is not sent once its client has left or has its answer; an attempt's last byte has to go within the window of those after it.

--- a/src/main/java/holdproxy/net/Attempt.java
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -24,7 +24,7 @@
     boolean neverRan;
 
     /** Deadline for sending its last byte; an attempt that misses it is aborted before that byte is sent. */
-    final long lastByteDeadlineUs;
+    private long lastByteDeadlineUs;
 
     /** Latency of the first bytes of a streamed value, less event loop stalls; -1 until they arrive. */
     long firstBytesUs = -1;
@@ -41,6 +41,15 @@
         lastByteDeadlineUs = exchange.lastByteDeadlineUs();
     }
 
+    /** Another attempt at the request may run, within whose repeat window this one must begin. */
+    void limitLastByte(long deadlineUs) {
+        lastByteDeadlineUs = Math.min(lastByteDeadlineUs, deadlineUs);
+    }
+
+    boolean mayStillBegin(long nowUs) {
+        return nowUs < lastByteDeadlineUs;
+    }
+
     /** The outcome if its connection breaks. */
     Router.Outcome outcomeIfDisconnected() {
         return written ? Router.Outcome.RESET : Router.Outcome.CONNECT_FAILED;
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -74,7 +74,7 @@
     private int unwrittenBytes;
 
     private final UndeliveredBytes undelivered =
-            new UndeliveredBytes(Sockets.MAX_CLIENT_UNDELIVERED_BYTES);
+            new UndeliveredBytes(Sockets.MAX_UNDELIVERED_BYTES);
 
     /** Lines in a row, up to the last one read, that were no command. */
     private int unknownCommands;
--- a/src/main/java/holdproxy/net/Exchange.java
+++ b/src/main/java/holdproxy/net/Exchange.java
@@ -49,6 +49,16 @@
         repeatWindowUs = type.repeatWindowUs;
     }
 
+    /** Adds the next attempt. Those before it may only begin within its repeat window. */
+    void add(Attempt next) {
+        if (!repeatable) {
+            for (Attempt a : attempts) {
+                a.limitLastByte(next.sentUs + repeatWindowUs);
+            }
+        }
+        attempts.add(next);
+    }
+
     /** Deadline for sending the last byte of the next attempt: later it might be executed a second time. */
     long lastByteDeadlineUs() {
         long by = Long.MAX_VALUE;
--- a/src/main/java/holdproxy/net/LingeringClose.java
+++ b/src/main/java/holdproxy/net/LingeringClose.java
@@ -7,10 +7,10 @@
 import java.util.function.LongSupplier;
 
 /**
- * The end of a connection to a client: shuts down its output and closes it once the client has closed its side,
- * or once a client that takes its responses has had the time to receive them. Until then input is read, and
- * discarded by the handlers before: a connection that is closed over unread input, or that receives more after
- * it was closed, is reset, and what the system still holds for the client is lost.
+ * The end of a connection to a client: shuts down its output and closes it once the client has closed its
+ * side, or once a client that takes its responses has had the time to receive them. Until then input is read,
+ * and discarded by the handlers before: a connection that is closed over unread input, or that receives more
+ * after it was closed, is reset, and what the system still holds for the client is lost.
  */
 final class LingeringClose {
     /** The least time for a client to close its side. */
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -143,10 +143,8 @@
     private void sendSlices() {
         while (!sending.isEmpty() && channel.isWritable() && !closed) {
             Attempt a = sending.peek();
-            if (pool.pools.proxy.now() >= a.lastByteDeadlineUs) {
-                awaitingAnswer.remove(a);
-                end(a, Router.Outcome.NOT_SENT, null); // sent whole, it might run twice
-                close();
+            if (!maySendOn(a)) {
+                abandon(a);
                 return;
             }
             Command c = a.exchange.command;
@@ -165,6 +163,20 @@
         }
     }
 
+    /**
+     * Whether the rest of a command may be sent: not if its client has left or has its answer, nor if, sent
+     * whole, it might run twice.
+     */
+    private boolean maySendOn(Attempt a) {
+        return !a.done && !a.exchange.answered && a.mayStillBegin(pool.pools.proxy.now());
+    }
+
+    /** Ends an attempt whose command has been sent in part: the node never gets its last byte. */
+    private void abandon(Attempt a) {
+        end(a, Router.Outcome.NOT_SENT, null);
+        retire();
+    }
+
     private void onWritten(Attempt a, boolean whole) {
         if (whole) {
             a.written = true;
@@ -204,9 +216,9 @@
     /**
      * Stops waiting for an attempt. If no other attempt waits for an answer, the connection is closed, which
      * the node sees. Otherwise the connection takes nothing new, and the late answer is read and discarded in
-     * its place in the order: taken for the next attempt's, it would serve a client another one's value.
-     * Returns whether the attempt may have run or may still run. If not, it may be sent elsewhere, so its
-     * bytes must not be written here later.
+     * its place in the order: taken for the next attempt's, it would serve a client another one's value. A
+     * command that has been sent in part stays so. Returns whether the attempt may have run or may still run.
+     * If not, it may be sent elsewhere.
      */
     boolean giveUp(Attempt a) {
         a.done = true;
@@ -216,14 +228,18 @@
             }
             return false;
         }
+        boolean written = a.written;
+        retire();
+        return written;
+    }
+
+    /** Takes nothing new, and closes once no attempt waits for its answer. */
+    private void retire() {
         retired = true;
         returnUnstarted();
-        if (anyWaiting()) {
-            return true;
+        if (!anyWaiting()) {
+            close();
         }
-        boolean written = a.written;
-        close();
-        return written;
     }
 
     /** Ends the attempts that have not been started: they may be sent elsewhere. */
@@ -390,9 +406,15 @@
         close();
     }
 
-    /** Closes the connection. Attempts still on it were written, and may run, or never will be. */
+    /**
+     * Closes the connection. Attempts still on it were written, and may run, or never will be: the connection
+     * is reset, as the system would otherwise go on sending what it holds of their commands.
+     */
     void close() {
         if (!closed) {
+            if (!awaitingAnswer.isEmpty()) {
+                Sockets.resetOnClose(channel);
+            }
             channel.close();
         }
         onClosed();
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -541,7 +541,7 @@
         long left = x.dueUs - now;
         long wait = timeoutUs != 0 ? Math.min(timeoutUs, left) : left;
         Attempt a = new Attempt(x, x.attempts.size(), now, lateness.totalUs(now), wait);
-        x.attempts.add(a);
+        x.add(a);
         x.openAttempts++;
         a.timer = loop.schedule(() -> timedOut(a), Math.max(0, wait), TimeUnit.MICROSECONDS);
         if (x.answered
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
@@ -39,13 +40,13 @@
     static final int MIN_READ_BYTES = 2 * 1024;
 
     /**
-     * The size that is asked for of a client's send buffer. What is left to the system can neither be counted
-     * nor taken back, and a buffer of the usual megabytes hides whether the client takes its answers.
+     * The size that is asked for of a connection's send buffer. What is left to the system cannot be counted,
+     * and a buffer of the usual megabytes hides whether the peer takes what it is sent.
      */
-    private static final int CLIENT_SEND_BUFFER_BYTES = 64 * 1024;
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
 
     /** What the system holds then: Linux doubles the size, to allow for what it needs itself. */
-    static final int MAX_CLIENT_UNDELIVERED_BYTES = 2 * CLIENT_SEND_BUFFER_BYTES;
+    static final int MAX_UNDELIVERED_BYTES = 2 * SEND_BUFFER_BYTES;
 
     /** The memory for direct buffers is small, and clients may make the proxy keep what they have sent. */
     private static final ByteBufAllocator CLIENT_BUFFERS =
@@ -65,6 +66,7 @@
                         // not channel(Class), whose reflection is costly during start-up
                         .channelFactory(NioSocketChannel::new)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                         // of discovery; connections to nodes have read buffers of their own
                         .option(
                                 ChannelOption.RECVBUF_ALLOCATOR,
@@ -98,7 +100,7 @@
                 new ServerBootstrap()
                         .group(loop, loop)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.SO_SNDBUF, CLIENT_SEND_BUFFER_BYTES)
+                        .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                         .childOption(ChannelOption.ALLOCATOR, CLIENT_BUFFERS)
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
@@ -138,6 +140,17 @@
         }
     }
 
+    /**
+     * Has the connection reset when it is closed, so that the peer gets nothing that the system still holds.
+     */
+    static void resetOnClose(Channel channel) {
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // the connection has ended already
+        }
+    }
+
     @Override
     public void shutdownOutput(Channel channel) {
         ((SocketChannel) channel).shutdownOutput();
--- a/src/test/java/holdproxy/net/LargeWriteTest.java
+++ b/src/test/java/holdproxy/net/LargeWriteTest.java
@@ -182,4 +182,40 @@
             assertEquals(1, f.proxy.figures().tries.get());
         }
     }
+
+    /** A write that fits into the buffers of the system, which would go on sending it after a close. */
+    private static final int BUFFERED_BYTES = 1 << 20;
+
+    /** Guards against a write that runs after its client has left, and again when the client comes back. */
+    @Test
+    void aNodeDoesNotGetTheRestOfAWriteWhoseClientHasLeft() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(write(BUFFERED_BYTES) + "x".repeat(BUFFERED_BYTES) + "\r\n");
+            Peer node = f.next();
+            assertTrue(node.line().contains("Ok1 "));
+            f.awaitInputProcessed();
+            client.close();
+            assertEquals(0, f.active());
+            f.awaitInputProcessed();
+            assertFalse(receivesLine(node), "the whole value was received");
+        }
+    }
+
+    /** Guards against a repeat that runs and the first attempt too, long after it was given up. */
+    @Test
+    void aNodeDoesNotGetTheRestOfAWriteThatWasGivenUp() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(
+                    write(BUFFERED_BYTES).replace("d=50000", "d=300")
+                            + "x".repeat(BUFFERED_BYTES)
+                            + "\r\n");
+            Peer node = f.next();
+            assertTrue(node.line().contains("Ok1 "));
+            assertTrue(client.line().startsWith("SERVER_ERROR "));
+            f.awaitInputProcessed();
+            assertFalse(receivesLine(node), "the whole value was received");
+        }
+    }
 }
--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -40,6 +40,15 @@
         socket.getOutputStream().flush();
     }
 
+    /** Sends, unless the connection has been reset. */
+    void sendUnlessReset(String text) throws IOException {
+        try {
+            send(text);
+        } catch (java.net.SocketException e) {
+            assertEquals("Connection reset by peer", e.getMessage());
+        }
+    }
+
     /** The next line without its terminator; null at the end of the stream. */
     String line() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
