No attempt begins for a client whose end may wait behind what it sent

Cause: the measure of how old a connection's input is ended with its last decoded line, though its end had not been read, began with the read and not with the arrival, and was not asked by attempts that wait for a connection.

Evidence: a scratch copy logged writes and ends; the proxy itself wrote 151 attempts over 0.1 s after the close, and noticed the ends after 58 to 281 ms.

Change: a connection is behind until an iteration of the loop finds nothing more on its socket, counted from when all sockets were read before; attempts that wait for a connection ask as well.

--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -212,27 +212,42 @@
 
         private final Names names;
         private final InputScheduler scheduler;
-        private final LongSupplier clock;
+        private final LongSupplier lastReadUs;
         private ChannelHandlerContext context;
         private int linesLeft = LINES_PER_TURN;
         private boolean queued;
-        private boolean waitingForTurn;
 
-        /** When this connection began to wait for turns; meaningless unless {@link #waitingForTurn}. */
-        private long waitingSinceUs;
+        /**
+         * More input is there, or may be: it was not decoded, or the socket was not read to its end, and has
+         * not been found empty since.
+         */
+        private boolean behind;
+
+        /** Since when; meaningless unless {@link #behind}. */
+        private long behindSinceUs;
+
+        /** How many times the socket has been read. */
+        private int reads;
+
+        private boolean checkScheduled;
 
         private Command pending;
         private String pendingFault;
         private final InputBudgets budgets;
 
         /**
-         * {@code budgets}: the memory for values that are still arriving; {@code clock}: in microseconds.
+         * {@code budgets}: the memory for values that are still arriving; {@code lastReadUs}: when at the
+         * latest all sockets were read before, in microseconds.
          */
-        Decoder(Names names, InputBudgets budgets, InputScheduler scheduler, LongSupplier clock) {
+        Decoder(
+                Names names,
+                InputBudgets budgets,
+                InputScheduler scheduler,
+                LongSupplier lastReadUs) {
             this.names = names;
             this.budgets = budgets;
             this.scheduler = scheduler;
-            this.clock = clock;
+            this.lastReadUs = lastReadUs;
         }
 
         @Override
@@ -251,6 +266,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
             super.channelReadComplete(ctx);
+            reads++;
             if (linesLeft == 0 && hasUndecodedInput()) {
                 awaitTurn();
             } else {
@@ -259,10 +275,7 @@
         }
 
         private void awaitTurn() {
-            if (!waitingForTurn) {
-                waitingForTurn = true;
-                waitingSinceUs = clock.getAsLong();
-            }
+            markBehind();
             if (!queued) {
                 queued = true;
                 scheduler.add(this);
@@ -270,9 +283,42 @@
         }
 
         private void endTurns() {
-            waitingForTurn = false;
             linesLeft = LINES_PER_TURN;
             context.channel().config().setAutoRead(true);
+            if (Sockets.lastReadWasFull(context.channel())) {
+                markBehind();
+            }
+            if (behind) {
+                scheduleCheck();
+            }
+        }
+
+        private void markBehind() {
+            if (!behind) {
+                behind = true;
+                behindSinceUs = lastReadUs.getAsLong();
+            }
+        }
+
+        /** Finds out, in the next iteration of the loop, whether more input or the connection's end came. */
+        private void scheduleCheck() {
+            if (!checkScheduled) {
+                checkScheduled = true;
+                int readsBefore = reads;
+                scheduler.afterNextReads(() -> check(readsBefore));
+            }
+        }
+
+        private void check(int readsBefore) {
+            checkScheduled = false;
+            if (queued) {
+                return; // the end of its turns schedules another check
+            }
+            if (reads == readsBefore) {
+                behind = false;
+            } else {
+                scheduleCheck();
+            }
         }
 
         /** Decodes as if more input had been read, so that all handlers see a read and its end. */
@@ -285,11 +331,11 @@
         }
 
         /**
-         * How long the connection has had input that was not decoded, in microseconds. The client may have
-         * left as long ago, since the end of a connection is read after all that was sent on it.
+         * How long more input may have been there, in microseconds. The client may have left as long ago,
+         * since the end of a connection is read after all that was sent on it.
          */
         long inputDelayUs(long now) {
-            return waitingForTurn ? now - waitingSinceUs : 0;
+            return behind ? now - behindSinceUs : 0;
         }
 
         @Override
@@ -329,6 +375,10 @@
 
         @Override
         void onBlock(byte[] value, List<Object> out) {
+            if (value.length > MAX_BUFFERED_VALUE_BYTES) {
+                behindSinceUs =
+                        lastReadUs.getAsLong(); // it takes many reads of a client that has not left
+            }
             if (pendingFault != null) {
                 out.add(new Fault(pendingFault, false));
             } else {
--- a/src/main/java/holdproxy/net/InputScheduler.java
+++ b/src/main/java/holdproxy/net/InputScheduler.java
@@ -36,6 +36,11 @@
         waiting.remove(connection);
     }
 
+    /** Runs a task once every socket that is read has been read in a later iteration of the loop. */
+    void afterNextReads(Runnable task) {
+        transport.afterReads(task, true);
+    }
+
     private void schedule() {
         if (!scheduled && !waiting.isEmpty()) {
             scheduled = true;
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -116,11 +116,12 @@
     }
 
     /**
-     * False if the client has left or has its answer, if the node is draining or left out, or if the attempt
-     * has waited longer than the dial timeout, which the router has reckoned with.
+     * False if the client has left, may have left or has its answer, if the node is draining or left out, or
+     * if the attempt has waited longer than the dial timeout, which the router has reckoned with.
      */
     private boolean mayStart(Attempt a) {
         return !a.exchange.answered
+                && !pool.pools.proxy.mayHaveLeft(a.exchange.session)
                 && pool.acceptsAttempts(this)
                 && pool.pools.proxy.now() - a.sentUs <= dialTimeoutUs;
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -223,7 +223,7 @@
     /** The channel handlers of a client connection. */
     ChannelHandler[] handlers() {
         Command.Decoder decoder =
-                new Command.Decoder(names, inputBudgets, inputScheduler, this::now);
+                new Command.Decoder(names, inputBudgets, inputScheduler, this::lastReadUs);
         return new ChannelHandler[] {
             new FlushConsolidationHandler(), decoder, new ClientSession(this, decoder)
         };
@@ -248,6 +248,12 @@
         return time.nowUs();
     }
 
+    /** When at the latest all sockets were read, in time of {@link #now}. */
+    private long lastReadUs() {
+        long now = now();
+        return now - lateness.sinceLastDueUs(now);
+    }
+
     /** Converts a Unix time to the router's clock; a node's start time always gives the same value. */
     long toRouterClock(long unixMs) {
         return time.monotonicUs(unixMs);
@@ -267,7 +273,7 @@
         }
         long now = now();
         if (exchanges.size() >= Math.min(MAX_OPEN, settings.maxOpen)
-                || mayHaveLeft(session, now)
+                || mayHaveLeft(session)
                 || !valueBytes.reserve(c.valueBytes())) {
             session.answer(slot, shedAnswer(c));
             return null;
@@ -308,8 +314,8 @@
     }
 
     /** Whether the client may have left longer ago than attempts for it may still begin. */
-    private static boolean mayHaveLeft(ClientSession session, long now) {
-        return session.inputDelayUs(now) > EventQueue.MAX_INPUT_AGE_US;
+    boolean mayHaveLeft(ClientSession session) {
+        return session.inputDelayUs(now()) > EventQueue.MAX_INPUT_AGE_US;
     }
 
     private void overdue(Exchange x) {
@@ -548,7 +554,7 @@
                 || wait <= 0
                 || pool == null
                 || a.number >= x.maxAttempts
-                || mayHaveLeft(x.session, now)) {
+                || mayHaveLeft(x.session)) {
             attemptEnded(a, Router.Outcome.NOT_SENT, null);
         } else {
             pool.send(a);
--- a/src/main/java/holdproxy/net/Sockets.java
+++ b/src/main/java/holdproxy/net/Sockets.java
@@ -45,7 +45,7 @@
      */
     private static final int SEND_BUFFER_BYTES = 64 * 1024;
 
-    /** What the system holds then: Linux doubles the size, to allow for what it needs itself. */
+    /** What the system holds of the output then: Linux doubles the size, for what it needs itself. */
     static final int MAX_UNDELIVERED_BYTES = 2 * SEND_BUFFER_BYTES;
 
     /** The memory for direct buffers is small, and clients may make the proxy keep what they have sent. */
@@ -140,6 +140,12 @@
         }
     }
 
+    /** Whether the last read of a connection filled its buffer, so that more may wait in the system. */
+    static boolean lastReadWasFull(Channel channel) {
+        RecvByteBufAllocator.Handle reads = channel.unsafe().recvBufAllocHandle();
+        return reads.lastBytesRead() > 0 && reads.lastBytesRead() == reads.attemptedBytesRead();
+    }
+
     /**
      * Has the connection reset when it is closed, so that the peer gets nothing that the system still holds.
      */
--- a/src/test/java/holdproxy/net/FloodingClientTest.java
+++ b/src/test/java/holdproxy/net/FloodingClientTest.java
@@ -147,6 +147,47 @@
         assertTrue(text(flood).contains("SERVER_ERROR busy"));
     }
 
+    /** Guards against attempts for clients whose end waits behind what they sent, in the system or here. */
+    @Test
+    void aClientMayHaveLeftUntilItsSocketIsFoundEmpty() throws Exception {
+        EmbeddedProxy embedded = new EmbeddedProxy(1);
+        embedded.transport.keepsNextIteration = true;
+        long[] nowUs = {0};
+        Command.Decoder decoder =
+                new Command.Decoder(
+                        new Command.Names(),
+                        new Command.InputBudgets(new ByteBudget(0), new ByteBudget(0)),
+                        new InputScheduler(embedded.transport),
+                        () -> nowUs[0]);
+        EmbeddedChannel channel = new EmbeddedChannel(decoder);
+        channel.writeInbound(WarmUp.bytes("mn\r\n".repeat(Command.Decoder.LINES_PER_TURN + 1)));
+        nowUs[0] = 100_000;
+        embedded.transport.runNextIteration();
+        assertFalse(decoder.hasUndecodedInput());
+        assertEquals(100_000, decoder.inputDelayUs(nowUs[0]), "its end may wait in the system");
+        channel.writeInbound(WarmUp.bytes("mn\r\n"));
+        embedded.transport.runNextIteration();
+        assertEquals(100_000, decoder.inputDelayUs(nowUs[0]), "more came in that iteration");
+        embedded.transport.runNextIteration();
+        assertEquals(0, decoder.inputDelayUs(nowUs[0]));
+    }
+
+    /** The same for an attempt that waits for its connection. */
+    @Test
+    void noAttemptIsBegunForAClientWhoseInputHasWaitedTooLong() throws Exception {
+        EmbeddedProxy embedded = new EmbeddedProxy(1);
+        embedded.transport.keepsNextIteration = true;
+        embedded.transport.keepsDials = true;
+        EmbeddedChannel client = embedded.client();
+        client.writeInbound(WarmUp.bytes(Fixture.read("a1", 4000)));
+        EmbeddedChannel node = embedded.transport.latestNodeConnection();
+        client.writeInbound(WarmUp.bytes("mn\r\n".repeat(2 * Command.Decoder.LINES_PER_TURN)));
+        embedded.advance(70);
+        node.register();
+        assertEquals("", WarmUp.text(node));
+        client.close();
+    }
+
     @Test
     void aClientThatClosesBetweenTurnsIsForgotten() {
         EmbeddedChannel flood = client();
