An answer's value is not kept until the router hears of the answer

Cause: the report of an answer, delivered at the end of a pass over all sockets, kept the answer's value beside its copy for the client. Hundreds of connections can bring more in one pass than the heap holds, and no limit counted it.

Change: the value is dropped once it has been copied for the client.

--- a/src/main/java/holdproxy/net/NodeResponse.java
+++ b/src/main/java/holdproxy/net/NodeResponse.java
@@ -51,6 +51,11 @@
         }
     }
 
+    /** Frees the value once it is encoded; what is reported to the router may wait for its delivery. */
+    void discardValue() {
+        value = null;
+    }
+
     boolean isValue() {
         return value != null || streamedLength > 0;
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -421,6 +421,9 @@
             Figures.Outcomes outcomes = outcomes(x.command);
             (written ? outcomes.ok : outcomes.errors).add(1);
         }
+        if (answer != null) {
+            answer.discardValue();
+        }
         long latencyUs = a.firstBytesUs >= 0 ? a.firstBytesUs : latencyUs(a, now());
         report(
                 x,
