CommandDecoder and InputBacklog in files of their own

The decoder and the backlog are now classes of their own; what they do is unchanged, with a test that a connection which waits for its turn stays behind.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -60,7 +60,7 @@
     }
 
     private final Proxy proxy;
-    private final Command.Decoder decoder;
+    private final CommandDecoder decoder;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
     private Future<?> firstCommandTimer;
@@ -90,7 +90,7 @@
     private boolean writing;
 
     /** {@code decoder}: the handler before this one, which decodes what the client sends. */
-    ClientSession(Proxy proxy, Command.Decoder decoder) {
+    ClientSession(Proxy proxy, CommandDecoder decoder) {
         this.proxy = proxy;
         this.decoder = decoder;
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -222,8 +222,8 @@
 
     /** The channel handlers of a client connection. */
     ChannelHandler[] handlers() {
-        Command.Decoder decoder =
-                new Command.Decoder(names, inputBudgets, inputScheduler, this::lastReadUs);
+        CommandDecoder decoder =
+                new CommandDecoder(names, inputBudgets, inputScheduler, this::lastReadUs);
         return new ChannelHandler[] {
             new FlushConsolidationHandler(), decoder, new ClientSession(this, decoder)
         };
--- a/src/test/java/holdproxy/net/FloodingClientTest.java
+++ b/src/test/java/holdproxy/net/FloodingClientTest.java
@@ -62,14 +62,14 @@
         EmbeddedChannel flood = client();
         flood.writeInbound(bytes("mn\r\n".repeat(MANY)));
         int answered = lines(flood);
-        assertEquals(Command.Decoder.LINES_PER_TURN, answered);
+        assertEquals(CommandDecoder.LINES_PER_TURN, answered);
         assertFalse(flood.config().isAutoRead(), "it is not read meanwhile");
         client().writeInbound(bytes(Fixture.read("a1", 900)));
         assertEquals(1, forwarded(), "another client is served meanwhile");
         while (answered < MANY) {
             transport.runNextIteration();
             int more = lines(flood);
-            assertTrue(more > 0 && more <= Command.Decoder.LINES_PER_TURN, more + " lines at once");
+            assertTrue(more > 0 && more <= CommandDecoder.LINES_PER_TURN, more + " lines at once");
             answered += more;
         }
         assertEquals(MANY, answered);
@@ -86,10 +86,10 @@
             floods.get(i).writeInbound(bytes("mn\r\n".repeat(300)));
             lines(floods.get(i));
         }
-        for (int left = 100 * (300 - Command.Decoder.LINES_PER_TURN); left > 0; ) {
+        for (int left = 100 * (300 - CommandDecoder.LINES_PER_TURN); left > 0; ) {
             transport.runNextIteration();
             int more = floods.stream().mapToInt(FloodingClientTest::lines).sum();
-            assertTrue(more > 0 && more <= 4 * Command.Decoder.LINES_PER_TURN, more + " at once");
+            assertTrue(more > 0 && more <= 4 * CommandDecoder.LINES_PER_TURN, more + " at once");
             left -= more;
         }
     }
@@ -108,9 +108,9 @@
                         });
         flood.pipeline().addLast(proxy.handlers());
         flood.pipeline().fireChannelActive();
-        flood.writeInbound(bytes("mn\r\n".repeat(2 * Command.Decoder.LINES_PER_TURN)));
+        flood.writeInbound(bytes("mn\r\n".repeat(2 * CommandDecoder.LINES_PER_TURN)));
         transport.runNextIteration();
-        assertEquals(2 * Command.Decoder.LINES_PER_TURN, lines(flood));
+        assertEquals(2 * CommandDecoder.LINES_PER_TURN, lines(flood));
         assertTrue(flushes[0] <= 4, flushes[0] + " flushes");
     }
 
@@ -153,14 +153,14 @@
         EmbeddedProxy embedded = new EmbeddedProxy(1);
         embedded.transport.keepsNextIteration = true;
         long[] nowUs = {0};
-        Command.Decoder decoder =
-                new Command.Decoder(
+        CommandDecoder decoder =
+                new CommandDecoder(
                         new Command.Names(),
                         new Command.InputBudgets(new ByteBudget(0), new ByteBudget(0)),
                         new InputScheduler(embedded.transport),
                         () -> nowUs[0]);
         EmbeddedChannel channel = new EmbeddedChannel(decoder);
-        channel.writeInbound(WarmUp.bytes("mn\r\n".repeat(Command.Decoder.LINES_PER_TURN + 1)));
+        channel.writeInbound(WarmUp.bytes("mn\r\n".repeat(CommandDecoder.LINES_PER_TURN + 1)));
         nowUs[0] = 100_000;
         embedded.transport.runNextIteration();
         assertFalse(decoder.hasUndecodedInput());
@@ -172,6 +172,27 @@
         assertEquals(0, decoder.inputDelayUs(nowUs[0]));
     }
 
+    /** A connection that is not read is not found empty. */
+    @Test
+    void aConnectionThatWaitsForItsTurnStaysBehind() throws Exception {
+        EmbeddedProxy embedded = new EmbeddedProxy(1);
+        embedded.transport.keepsNextIteration = true;
+        long[] nowUs = {0};
+        InputBacklog backlog =
+                new InputBacklog(new InputScheduler(embedded.transport), () -> nowUs[0]);
+        backlog.begin();
+        backlog.resume();
+        backlog.pause();
+        nowUs[0] = 100_000;
+        for (int i = 0; i < 3; i++) {
+            embedded.transport.runNextIteration();
+            assertEquals(100_000, backlog.ageUs(nowUs[0]));
+        }
+        backlog.resume();
+        embedded.transport.runNextIteration();
+        assertEquals(0, backlog.ageUs(nowUs[0]));
+    }
+
     /** The same for an attempt that waits for its connection. */
     @Test
     void noAttemptIsBegunForAClientWhoseInputHasWaitedTooLong() throws Exception {
@@ -181,7 +202,7 @@
         EmbeddedChannel client = embedded.client();
         client.writeInbound(WarmUp.bytes(Fixture.read("a1", 4000)));
         EmbeddedChannel node = embedded.transport.latestNodeConnection();
-        client.writeInbound(WarmUp.bytes("mn\r\n".repeat(2 * Command.Decoder.LINES_PER_TURN)));
+        client.writeInbound(WarmUp.bytes("mn\r\n".repeat(2 * CommandDecoder.LINES_PER_TURN)));
         embedded.advance(70);
         node.register();
         assertEquals("", WarmUp.text(node));
--- a/src/test/java/holdproxy/net/HalfReceivedCommandTest.java
+++ b/src/test/java/holdproxy/net/HalfReceivedCommandTest.java
@@ -60,7 +60,7 @@
     @Test
     void idleConnectionsMakeRoomBeforeOneWithCommandsThatWaitForTheirTurn() {
         embedded.transport.keepsNextIteration = true;
-        int commands = 3 * Command.Decoder.LINES_PER_TURN;
+        int commands = 3 * CommandDecoder.LINES_PER_TURN;
         EmbeddedChannel client = usedClient("mn\r\n".repeat(commands));
         idleClients(CLIENTS + 5);
         assertTrue(client.isActive());
