A command that was handed over whole counts as one that may run

The change to given-up attempts took a small command that waits behind others on a shared connection for one that never runs, though the connection stays open and sends it. It counts as one that may run again; only a large value that is cut short does not. Found by reading the change. Attempts that must not run twice never share a connection.

Measured: the tests of shared connections, large writes and departures pass.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -229,9 +229,9 @@
             }
             return false;
         }
-        boolean written = a.written;
+        boolean staysIncomplete = sending.contains(a);
         retire();
-        return written;
+        return a.written || !closed && !staysIncomplete;
     }
 
     /** Takes nothing new, and closes once no attempt waits for its answer. */
