A client that stays is served behind a standstill of the loop

ClientDisconnectTest once, on a busy machine: a client that sends more than 128 requests at once, behind a standstill, had them refused, as it might have left by the time they were read.

Change: a request whose client may have left waits for up to ten iterations of the loop until that is known, and an attempt that has waited for a connection waits on, for the time of a dial at most; before, both were ended at once.

Evidence: AttemptAfterDisconnectTest.aClientThatStaysIsServedBehindAStall fails without the wait.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -39,6 +39,7 @@
     private Channel channel;
     private boolean established;
     private boolean everUsed;
+    private boolean startScheduled;
     private boolean closed;
 
     /** An attempt was given up: a new one would have to wait for that one's answer. */
@@ -105,27 +106,44 @@
     /** Starts the waiting attempts, each after the one before it has been written whole. */
     private void startWaiting() {
         while (established && !unsent.isEmpty() && sending.isEmpty() && !closed) {
-            Attempt a = unsent.poll();
-            if (mayStart(a)) {
+            Attempt a = unsent.peek();
+            if (!mayStart(a)) {
+                unsent.poll();
+                end(a, Router.Outcome.NOT_SENT, null);
+            } else if (pool.pools.proxy.mayHaveLeft(a.exchange.session)) {
+                startAfterNextReads();
+                return;
+            } else {
+                unsent.poll();
                 awaitingAnswer.add(a);
                 write(a);
-            } else {
-                end(a, Router.Outcome.NOT_SENT, null);
             }
         }
     }
 
     /**
-     * False if the client has left, may have left or has its answer, if the node is draining or left out, or
-     * if the attempt has waited longer than the dial timeout, which the router has reckoned with.
+     * False if the client has left or has its answer, if the node is draining or left out, or if the attempt
+     * has waited longer than the dial timeout, which the router has reckoned with.
      */
     private boolean mayStart(Attempt a) {
         return !a.exchange.answered
-                && !pool.pools.proxy.mayHaveLeft(a.exchange.session)
                 && pool.acceptsAttempts(this)
                 && pool.pools.proxy.now() - a.sentUs <= dialTimeoutUs;
     }
 
+    /** Tries again when it may be known whether the client has left. */
+    private void startAfterNextReads() {
+        if (!startScheduled) {
+            startScheduled = true;
+            pool.pools.proxy.transport.afterReads(
+                    () -> {
+                        startScheduled = false;
+                        startFirst();
+                    },
+                    true);
+        }
+    }
+
     private void write(Attempt a) {
         long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
         Command c = a.exchange.command;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -61,6 +61,9 @@
      */
     private static final int STALL_DIVISOR = 4;
 
+    /** Iterations of the loop for which a request waits until it is known whether its client has left. */
+    private static final int MAX_DEFERRALS = 10;
+
     /** How long a dropped class is still served, for requests that clients had already sent. */
     private static final int DROPPED_CLASS_MS = 5_000;
 
@@ -299,20 +302,26 @@
                         () -> overdue(x),
                         Math.max(0, dueUs - now) + OVERDUE_US,
                         TimeUnit.MICROSECONDS);
-        events.add(
-                () -> {
-                    if (x.answered) {
-                        return; // its client has disconnected in the same iteration of the loop
-                    }
-                    c.fill(request);
-                    request.requestClass = type;
-                    request.id = x.id;
-                    request.dueUs = x.dueUs;
-                    router.onRequest(now(), request, this);
-                });
+        events.add(() -> route(x, type, MAX_DEFERRALS));
         return x;
     }
 
+    /** Has the router decide on a request, once it is known whether its client has left. */
+    private void route(Exchange x, int type, int deferralsLeft) {
+        if (x.answered) {
+            return; // its client has disconnected in the same iteration of the loop
+        }
+        if (deferralsLeft > 0 && mayHaveLeft(x.session)) {
+            transport.afterReads(() -> events.add(() -> route(x, type, deferralsLeft - 1)), true);
+            return;
+        }
+        x.command.fill(request);
+        request.requestClass = type;
+        request.id = x.id;
+        request.dueUs = x.dueUs;
+        router.onRequest(now(), request, this);
+    }
+
     /** Whether the client may have left longer ago than attempts for it may still begin. */
     boolean mayHaveLeft(ClientSession session) {
         return session.inputDelayUs(now()) > EventQueue.MAX_INPUT_AGE_US;
--- a/src/test/java/holdproxy/net/AttemptAfterDisconnectTest.java
+++ b/src/test/java/holdproxy/net/AttemptAfterDisconnectTest.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
@@ -62,6 +63,23 @@
         }
     }
 
+    /** Guards against refusing a client that stays, as it sent more than is read at once before a stall. */
+    @Test
+    void aClientThatStaysIsServedBehindAStall() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s, 1024, clock)) {
+            Peer client = f.client();
+            client.send("mn\r\n");
+            client.expect("MN");
+            StringBuilder many = new StringBuilder(Fixture.read("a1", 4000));
+            many.append("mn\r\n".repeat(CommandDecoder.LINES_PER_TURN));
+            duringAStall(f, () -> client.send(many.toString()));
+            Peer node = f.nodes.get(0).next();
+            assertTrue(node.line().contains("Oa1 "));
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+        }
+    }
+
     /** The disconnect follows another command, which is all that the iteration of the failure reads. */
     @Test
     void noFurtherAttempt() throws Exception {
