A piece of a value counts with its read buffer also behind a wrapper

Cause: the size of a piece's read buffer was taken one wrapper below the piece. Netty's leak detection wraps one buffer in 128, so that the piece's own size was found there. In service the detection is off, and the figure was right.

Change: all wrappers are looked through.

--- a/src/main/java/holdproxy/net/ValueStream.java
+++ b/src/main/java/holdproxy/net/ValueStream.java
@@ -26,7 +26,10 @@
     private record Piece(ByteBuf bytes, int heldBytes) {
         static Piece of(ByteBuf bytes) {
             int size = bytes.readableBytes();
-            ByteBuf readBuffer = bytes.unwrap() == null ? bytes : bytes.unwrap();
+            ByteBuf readBuffer = bytes;
+            while (readBuffer.unwrap() != null) {
+                readBuffer = readBuffer.unwrap(); // a slice, or a wrapper of Netty's leak detection
+            }
             if (readBuffer.capacity() <= MAX_BUFFER_RATIO * size) {
                 return new Piece(bytes, readBuffer.capacity());
             }
